Add the build, the core layer and the design page

The core layer holds the closed list of error kinds with its answer table, the clock interface, the event log, the read-copy-update cell and the protobuf messages. servers/exchange defines the streaming interface that the ingress, the peer client, the gate and the target client share.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,16 @@
+# Libraries come from Debian's packages; scripts/install-deps lists them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+find_package(Protobuf REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(absl REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+
+find_path(RAPIDCHECK_INCLUDE_DIR rapidcheck.h REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
--- /dev/null
+++ b/cmake/layers.cmake
@@ -0,0 +1,52 @@
+# Compile options of every target of this project; generated code is exempt from warnings.
+add_library(teaselpitch_options INTERFACE)
+target_compile_options(teaselpitch_options INTERFACE -Wall -Wextra -Werror)
+target_compile_definitions(teaselpitch_options INTERFACE BOOST_ASIO_NO_DEPRECATED
+                                                         BOOST_MPL_LIMIT_LIST_SIZE=30
+                                                         BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS)
+target_include_directories(teaselpitch_options INTERFACE ${CMAKE_SOURCE_DIR})
+target_link_libraries(teaselpitch_options INTERFACE Threads::Threads Boost::headers)
+if(TEASELPITCH_SANITIZE)
+  target_compile_options(teaselpitch_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
+  target_link_options(teaselpitch_options INTERFACE -fsanitize=address,undefined)
+endif()
+if(TEASELPITCH_TSAN)
+  target_compile_options(teaselpitch_options INTERFACE -fsanitize=thread -fno-omit-frame-pointer)
+  target_link_options(teaselpitch_options INTERFACE -fsanitize=thread)
+endif()
+
+# Adds the library of the current folder from all its sources.
+function(teaselpitch_add_library name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    target_link_libraries(${name} PUBLIC teaselpitch_options ${ARGN})
+  else()
+    add_library(${name} INTERFACE)
+    target_link_libraries(${name} INTERFACE teaselpitch_options ${ARGN})
+  endif()
+endfunction()
+
+# Adds a program from all sources of the current folder.
+function(teaselpitch_add_program name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  add_executable(${name} ${sources})
+  target_compile_definitions(${name} PRIVATE TEASELPITCH_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${name} PRIVATE teaselpitch_options ${ARGN})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# Adds the Boost.Test program of the current folder from all its sources and registers it with CTest.
+function(teaselpitch_add_tests name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name} ${sources} ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+  target_include_directories(${name} SYSTEM PRIVATE ${RAPIDCHECK_INCLUDE_DIR})
+  target_link_libraries(${name} PRIVATE teaselpitch_options Boost::unit_test_framework
+                                        ${RAPIDCHECK_LIBRARY} ${ARGN})
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 180)
+endfunction()
--- /dev/null
+++ b/core/event_log.cpp
@@ -0,0 +1,105 @@
+#include "core/event_log.h"
+
+#include <fmt/format.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace teaselpitch {
+namespace {
+
+bool needs_quotes(std::string_view text) {
+    if (text.empty()) {
+        return true;
+    }
+    for (const char c : text) {
+        if (static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void append_quoted(std::string& line, std::string_view text) {
+    line += '"';
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            line += '\\';
+            line += c;
+        } else if (c == '\n') {
+            line += "\\n";
+        } else if (static_cast<unsigned char>(c) < ' ' || c == 0x7f) {
+            line += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            line += c;
+        }
+    }
+    line += '"';
+}
+
+void append_pair(std::string& line, std::string_view key, std::string_view value) {
+    line += ' ';
+    line += key;
+    line += '=';
+    if (needs_quotes(value)) {
+        append_quoted(line, value);
+    } else {
+        line += value;
+    }
+}
+
+spdlog::level::level_enum to_spdlog(event_level level) {
+    switch (level) {
+        case event_level::debug:
+            return spdlog::level::debug;
+        case event_level::info:
+            return spdlog::level::info;
+        case event_level::warning:
+            return spdlog::level::warn;
+        case event_level::error:
+            return spdlog::level::err;
+    }
+    return spdlog::level::err;
+}
+
+spdlog::logger& event_logger() {
+    static const std::shared_ptr<spdlog::logger> logger = [] {
+        auto created =
+            std::make_shared<spdlog::logger>("events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+        created->set_level(spdlog::level::info);
+        return created;
+    }();
+    return *logger;
+}
+
+}  // namespace
+
+event_field::event_field(std::string_view key, std::string_view value) : key_(key), value_(value) {}
+
+event_field::event_field(std::string_view key, bool value) : key_(key), value_(value ? "true" : "false") {}
+
+event_field::event_field(std::string_view key, double value)
+    : key_(key), value_(fmt::format("{:.6g}", value)) {}
+
+std::string format_event(std::string_view event, std::initializer_list<event_field> fields) {
+    std::string line = "event=";
+    line += event;
+    for (const event_field& field : fields) {
+        append_pair(line, field.key(), field.value());
+    }
+    return line;
+}
+
+void log_event(event_level level, std::string_view event, std::initializer_list<event_field> fields) {
+    if (event_logger().should_log(to_spdlog(level))) {
+        event_logger().log(to_spdlog(level), "{}", format_event(event, fields));
+    }
+}
+
+void set_event_level(event_level lowest) {
+    event_logger().set_level(to_spdlog(lowest));
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/core/identity.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace teaselpitch {
+
+/// One life of a node: a restarted process has the same name and a higher incarnation.
+struct node_identity {
+    std::string name;
+    std::uint64_t incarnation = 0;  ///< Wall-clock microseconds at the start of the process.
+
+    auto operator<=>(const node_identity&) const = default;
+};
+
+/// One life of a target.
+struct target_identity {
+    std::string name;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const target_identity&) const = default;
+};
+
+/// A TCP or UDP endpoint by IP number.
+struct endpoint {
+    std::string address;  ///< IP number, never a host name.
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+};
+
+/// Text of an endpoint: ADDRESS:PORT.
+std::string to_string(const endpoint& value);
+
+/// 64-bit hash of a name, the same in each process and build.
+std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/core/rcu_cell.cpp
@@ -0,0 +1,28 @@
+#include "core/rcu_cell.h"
+
+#include <urcu/urcu-bp.h>
+
+namespace teaselpitch::rcu {
+
+// The "bp" flavour registers reader threads on first use, so shards need no registration call.
+void read_lock() {
+    urcu_bp_read_lock();
+}
+
+void read_unlock() {
+    urcu_bp_read_unlock();
+}
+
+void synchronize() {
+    urcu_bp_synchronize_rcu();
+}
+
+void* load(void* const* slot) {
+    return rcu_dereference(*slot);
+}
+
+void* exchange(void** slot, void* value) {
+    return rcu_xchg_pointer(slot, value);
+}
+
+}  // namespace teaselpitch::rcu
