--- a/core/identity.h
+++ b/core/identity.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "absl/status/statusor.h"
+
 namespace teaselpitch {
 
 /// One life of a node: a restarted process has the same name and a higher incarnation.
@@ -32,9 +34,12 @@
     auto operator<=>(const endpoint&) const = default;
 };
 
-/// Text of an endpoint: ADDRESS:PORT.
+/// Text of an endpoint: ADDRESS:PORT, with brackets around an IPv6 address.
 std::string to_string(const endpoint& value);
 
+/// Parses ADDRESS:PORT. Fails when the address is not an IP number or the port is not in 0..65535.
+absl::StatusOr<endpoint> parse_endpoint(std::string_view text);
+
 /// 64-bit hash of a name, the same in each process and build.
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
 
