--- /dev/null
+++ b/tests/servers/records/records_test.cpp
@@ -0,0 +1,98 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "servers/records/decision_log.h"
+#include "servers/records/outcome_counters.h"
+
+namespace teaselpitch {
+namespace {
+
+using namespace std::chrono_literals;
+
+decision_record record_of(decision_subject subject, const std::string& id) {
+    decision_record record;
+    record.subject = subject;
+    record.id = id;
+    return record;
+}
+
+struct outcome_case {
+    std::string name;
+    error_kind error;
+    unsigned status;
+    std::chrono::milliseconds latency;
+    outcome expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const outcome_case& value) {
+    return out << value.name;
+}
+
+const std::vector<outcome_case> outcome_cases{
+    {"fast answer", error_kind::none, 200, 50ms, outcome::good},
+    {"answer at the objective", error_kind::none, 200, 100ms, outcome::good},
+    {"slow answer", error_kind::none, 200, 101ms, outcome::slow},
+    {"caller error from the target", error_kind::none, 404, 5ms, outcome::good},
+    {"error from the target", error_kind::none, 503, 5ms, outcome::wrong},
+    {"overload", error_kind::overloaded, 503, 5ms, outcome::refused},
+    {"deadline", error_kind::target_timeout, 504, 900ms, outcome::timed_out},
+    {"broken answer", error_kind::answer_broken, 502, 5ms, outcome::wrong},
+    {"doubt", error_kind::key_in_doubt, 409, 5ms, outcome::unknown},
+    {"no route", error_kind::no_route, 404, 5ms, outcome::caller_fault},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(records)
+
+// Guards against a flood of request records that pushes out the record of an ejection.
+BOOST_AUTO_TEST_CASE(subjects_do_not_push_each_other_out) {
+    manual_time_source clock;
+    decision_log log(clock, 4);
+    log.add(record_of(decision_subject::target, "t1"));
+    for (int i = 0; i < 100; ++i) {
+        log.add(record_of(decision_subject::request, "r" + std::to_string(i)));
+    }
+    BOOST_TEST(log.find(decision_subject::target, "t1", 10).size() == 1U);
+    const auto requests = log.find(decision_subject::request, "", 10);
+    BOOST_REQUIRE_EQUAL(requests.size(), 4U);
+    BOOST_TEST(requests.front().id == "r96");
+    BOOST_TEST(requests.back().id == "r99");
+}
+
+// Guards against outcomes that use the wrong part of the error budget.
+BOOST_DATA_TEST_CASE(outcomes_are_classified, boost::unit_test::data::make(outcome_cases), sample) {
+    BOOST_TEST(to_string(classify_outcome(sample.error, sample.status, sample.latency, 100ms)) ==
+               to_string(sample.expected));
+}
+
+// Guards against buckets that are counted again after the ring has wrapped around.
+BOOST_AUTO_TEST_CASE(windows_forget_old_minutes) {
+    manual_time_source clock;
+    outcome_counters counters(clock);
+    counters.add("limits", "seq-bne", outcome::good);
+    clock.advance(3min);
+    counters.add("limits", "seq-bne", outcome::refused);
+    const std::vector<std::chrono::minutes> lengths{1min, 5min, 60min, 360min};
+    const std::vector<std::uint64_t> good{0, 1, 1, 1};
+    auto windows = counters.windows(lengths);
+    BOOST_REQUIRE_EQUAL(windows.size(), lengths.size());
+    for (std::size_t i = 0; i < windows.size(); ++i) {
+        BOOST_TEST(windows[i].counts[static_cast<std::size_t>(outcome::good)] == good[i]);
+        BOOST_TEST(windows[i].counts[static_cast<std::size_t>(outcome::refused)] == 1U);
+    }
+    clock.advance(61min);
+    windows = counters.windows(lengths);
+    BOOST_TEST(windows[2].counts[static_cast<std::size_t>(outcome::good)] == 0U);
+    BOOST_TEST(windows[3].counts[static_cast<std::size_t>(outcome::good)] == 1U);
+    clock.advance(25h);
+    BOOST_TEST(counters.windows(lengths)[3].counts[static_cast<std::size_t>(outcome::good)] == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch
