Try targets in turn at the ingress

An attempt may only be repeated on proof that it was not run, or for an idempotent request, within the deadline and while the consumed body can be replayed.

--- /dev/null
+++ b/modules/proxy/ingress.cpp
@@ -0,0 +1,149 @@
+#include "modules/proxy/ingress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselpitch {
+namespace {
+
+/// Passes an answer through and remembers its status for the report.
+class status_observer final : public response_writer {
+public:
+    explicit status_observer(response_writer& inner) : inner_(inner) {}
+
+    awaitable<absl::Status> write_head(const response_head& head) override {
+        status_ = head.status;
+        return inner_.write_head(head);
+    }
+    awaitable<absl::Status> write_body(std::span<const std::byte> data) override {
+        return inner_.write_body(data);
+    }
+    awaitable<absl::Status> finish() override { return inner_.finish(); }
+    void abort() override { inner_.abort(); }
+
+    [[nodiscard]] unsigned status() const { return status_; }
+
+private:
+    response_writer& inner_;
+    unsigned status_ = 0;
+};
+
+std::string describe_attempt(const route_choice& choice, const exchange_result& result) {
+    std::string line = "target=" + (choice.target.name.empty() ? "(holder)" : choice.target.name);
+    line += " node=" + choice.node + " chosen_by=" + choice.reason;
+    line += " error=" + std::string(answer_of(result.error).name);
+    line += " execution=" + std::string(to_string(result.execution));
+    if (!result.detail.empty()) {
+        line += " detail=" + result.detail;
+    }
+    return line;
+}
+
+exchange_result refused_exchange(const refusal& refused) {
+    exchange_result result = failed_exchange(refused.error, refused.detail);
+    if (refused.retry_after) {
+        result.retry_after = refused.retry_after;
+    }
+    return result;
+}
+
+}  // namespace
+
+ingress::ingress(const time_source& clock, ingress_options options, ingress_hooks hooks)
+    : clock_(clock), options_(options), hooks_(std::move(hooks)) {}
+
+awaitable<exchange_result> ingress::exchange(const request_head& head, body_reader& body,
+                                             response_writer& writer) {
+    const steady_time start = clock_.now();
+    request_head routed = head;
+    replayable_body replay(body, options_.replay_bytes);
+    status_observer observer(writer);
+    progress state;
+    exchange_result result = co_await serve(routed, replay, observer, state);
+    const unsigned status =
+        result.error == error_kind::none ? observer.status() : answer_of(result.error).http_status;
+    hooks_.exchange_ended({routed, result, status, state.attempts, clock_.now() - start});
+    co_return result;
+}
+
+awaitable<exchange_result> ingress::serve(request_head& head, replayable_body& body, response_writer& writer,
+                                          progress& state) {
+    const std::optional<route_decision> route = hooks_.find_route(head);
+    if (!route) {
+        co_return failed_exchange(error_kind::no_route, "no route for " + head.host + head.path);
+    }
+    head.service = route->service;
+    head.non_idempotent = route->non_idempotent;
+    const auto timeout = route->timeout.count() > 0 ? route->timeout : options_.default_timeout;
+    head.deadline = std::min(head.deadline, clock_.now() + timeout);
+    if (head.has_body) {
+        const absl::Status read = co_await body.read_ahead();
+        if (!read.ok()) {
+            const bool too_large = absl::IsResourceExhausted(read);
+            co_return failed_exchange(too_large ? error_kind::body_too_large : error_kind::malformed_request,
+                                      std::string(read.message()));
+        }
+    }
+    head.fingerprint = request_fingerprint(head, body.kept());
+    const refusal refused = hooks_.admit(head);
+    if (refused.error != error_kind::none) {
+        co_return refused_exchange(refused);
+    }
+    co_return co_await attempt_all(head, body, writer, state);
+}
+
+awaitable<exchange_result> ingress::attempt_all(const request_head& head, replayable_body& body,
+                                                response_writer& writer, progress& state) {
+    std::optional<exchange_result> last;
+    while (true) {
+        if (clock_.now() >= head.deadline) {
+            co_return last
+                ? std::move(*last)
+                : failed_exchange(error_kind::deadline_expired, "the deadline passed at the ingress");
+        }
+        const choice_or_refusal<route_choice> chosen = hooks_.choose(head, state.tried);
+        if (!chosen.choice) {
+            // The failure of an earlier attempt says more than that no further target is left.
+            co_return last ? std::move(*last) : refused_exchange(chosen.refused);
+        }
+        last = co_await attempt_one(*chosen.choice, head, body, writer, state);
+        if (!may_try_again(head, *last, body, state)) {
+            co_return std::move(*last);
+        }
+        body.rewind();
+    }
+}
+
+awaitable<exchange_result> ingress::attempt_one(const route_choice& choice, const request_head& head,
+                                                replayable_body& body, response_writer& writer,
+                                                progress& state) {
+    request_head attempt = head;
+    attempt.target = choice.target;
+    const steady_time start = clock_.now();
+    exchange_result result = co_await hooks_.dispatch(choice, attempt, body, writer);
+    ++state.count;
+    if (!choice.target.name.empty()) {
+        state.tried.push_back(choice.target.name);
+    }
+    state.attempts.push_back(describe_attempt(choice, result));
+    hooks_.attempt_ended({attempt, choice, result, state.count, clock_.now() - start});
+    co_return result;
+}
+
+bool ingress::may_try_again(const request_head& head, const exchange_result& result,
+                            const replayable_body& body, const progress& state) const {
+    if (result.error == error_kind::none || result.head_written || !body.can_replay()) {
+        return false;
+    }
+    return hooks_.may_retry(head, result, state.count);
+}
+
+std::uint64_t request_fingerprint(const request_head& head, std::span<const std::byte> body_prefix) {
+    std::uint64_t hash = stable_hash(head.service);
+    hash = stable_hash(head.method, hash);
+    hash = stable_hash(head.path, hash);
+    hash = stable_hash(head.account, hash);
+    return stable_hash({reinterpret_cast<const char*>(body_prefix.data()), body_prefix.size()}, hash);
+}
+
+}  // namespace teaselpitch
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -47,6 +47,8 @@
     bool non_idempotent = false;  ///< By method or by the route's row.
     steady_time deadline;         ///< On the clock of the process that holds this head.
 
+    std::uint64_t fingerprint = 0;  ///< Hash that recognises equal requests; 0 before routing.
+
     target_identity target;     ///< The chosen target; empty at the ingress and for keyed requests.
     std::uint32_t detours = 0;  ///< Nodes between the ingress and the gate; at most one.
 };
