--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -3,31 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/proxy/answer_observer.h"
+
 namespace teaselpitch {
 namespace {
 
-/// Passes an answer through and remembers its status for the report.
-class status_observer final : public response_writer {
-public:
-    explicit status_observer(response_writer& inner) : inner_(inner) {}
-
-    awaitable<absl::Status> write_head(const response_head& head) override {
-        status_ = head.status;
-        return inner_.write_head(head);
-    }
-    awaitable<absl::Status> write_body(std::span<const std::byte> data) override {
-        return inner_.write_body(data);
-    }
-    awaitable<absl::Status> finish() override { return inner_.finish(); }
-    void abort() override { inner_.abort(); }
-
-    [[nodiscard]] unsigned status() const { return status_; }
-
-private:
-    response_writer& inner_;
-    unsigned status_ = 0;
-};
-
 std::string describe_attempt(const route_choice& choice, const exchange_result& result) {
     std::string line = "target=" + (choice.target.name.empty() ? "(holder)" : choice.target.name);
     line += " node=" + choice.node + " chosen_by=" + choice.reason;
@@ -57,7 +37,7 @@
     const steady_time start = clock_.now();
     request_head routed = head;
     replayable_body replay(body, options_.replay_bytes);
-    status_observer observer(writer);
+    answer_observer observer(writer, clock_);
     progress state;
     exchange_result result = co_await serve(routed, replay, observer, state);
     const unsigned status =
