Add the node-to-node transport over HTTP/2

Cause: ingress and gate live on different nodes, so exchanges and control calls need a transport that streams bodies with back pressure and that reports truthfully whether a request was run.

The server opens a stream's receive window only when the gate reads, so a refusal leaves the body unread at the ingress. The connection window is returned on receipt, so an unread stream blocks only itself.

--- /dev/null
+++ b/drivers/peer/h2_callbacks.cpp
@@ -0,0 +1,166 @@
+#include "drivers/peer/h2_callbacks.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "drivers/peer/h2_session.h"
+
+namespace teaselpitch {
+namespace {
+
+h2_session& self(void* user) {
+    return *static_cast<h2_session*>(user);
+}
+
+bool ends_stream(const nghttp2_frame& frame) {
+    return (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+}
+
+void submit_trailer(nghttp2_session* session, std::int32_t id, const h2_fields& fields) {
+    std::vector<nghttp2_nv> values;
+    for (const auto& [name, value] : fields) {
+        values.push_back({const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(name.data())),
+                          const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(value.data())),
+                          name.size(), value.size(), NGHTTP2_NV_FLAG_NO_INDEX});
+    }
+    nghttp2_submit_trailer(session, id, values.data(), values.size());
+}
+
+}  // namespace
+
+nghttp2_session* h2_callbacks::create(h2_session& session, bool server) {
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, header);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, frame_received);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, data_received);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, stream_closed);
+    nghttp2_session_callbacks_set_before_frame_send_callback(callbacks, before_send);
+    nghttp2_session_callbacks_set_on_frame_not_send_callback(callbacks, not_sent);
+    nghttp2_option* option = nullptr;
+    nghttp2_option_new(&option);
+    nghttp2_option_set_no_auto_window_update(option, 1);
+    nghttp2_session* created = nullptr;
+    if (server) {
+        nghttp2_session_server_new2(&created, callbacks, &session, option);
+    } else {
+        nghttp2_session_client_new2(&created, callbacks, &session, option);
+    }
+    nghttp2_option_del(option);
+    nghttp2_session_callbacks_del(callbacks);
+    return created;
+}
+
+int h2_callbacks::begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+    if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+        h2_session& owner = self(user);
+        auto stream = std::make_shared<h2_stream>(owner.socket_.get_executor());
+        stream->id = frame->hd.stream_id;
+        owner.add_stream(stream);
+    }
+    return 0;
+}
+
+int h2_callbacks::header(nghttp2_session* /*session*/, const nghttp2_frame* frame, const std::uint8_t* name,
+                         std::size_t name_length, const std::uint8_t* value, std::size_t value_length,
+                         std::uint8_t /*flags*/, void* user) {
+    h2_stream* stream = self(user).find(frame->hd.stream_id);
+    if (stream != nullptr) {
+        h2_fields& fields = stream->head_received ? stream->trailer : stream->head;
+        fields.emplace_back(std::string(reinterpret_cast<const char*>(name), name_length),
+                            std::string(reinterpret_cast<const char*>(value), value_length));
+    }
+    return 0;
+}
+
+int h2_callbacks::frame_received(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+    h2_session& owner = self(user);
+    if (frame->hd.type == NGHTTP2_SETTINGS && (frame->hd.flags & NGHTTP2_FLAG_ACK) == 0) {
+        owner.ready_ = true;
+        owner.received_.notify();
+    }
+    if (frame->hd.type == NGHTTP2_GOAWAY) {
+        owner.going_away_ = true;
+    }
+    const auto found = owner.streams_.find(frame->hd.stream_id);
+    if (found == owner.streams_.end()) {
+        return 0;
+    }
+    const std::shared_ptr<h2_stream> stream = found->second;
+    if ((frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA) && ends_stream(*frame)) {
+        stream->remote_ended = true;
+    }
+    if (frame->hd.type == NGHTTP2_HEADERS && !stream->head_received) {
+        stream->head_received = true;
+        if (frame->headers.cat == NGHTTP2_HCAT_REQUEST && owner.hooks_.on_request) {
+            owner.hooks_.on_request(stream);
+        }
+    }
+    stream->changed.notify();
+    return 0;
+}
+
+int h2_callbacks::data_received(nghttp2_session* session, std::uint8_t /*flags*/, std::int32_t id,
+                                const std::uint8_t* data, std::size_t length, void* user) {
+    // The connection window is given back at once, so a stream that is not read blocks only itself.
+    nghttp2_session_consume_connection(session, length);
+    h2_stream* stream = self(user).find(id);
+    if (stream != nullptr) {
+        stream->inbound.push(std::as_bytes(std::span(data, length)));
+        stream->changed.notify();
+    }
+    return 0;
+}
+
+int h2_callbacks::stream_closed(nghttp2_session* /*session*/, std::int32_t id, std::uint32_t error_code,
+                                void* user) {
+    self(user).close_stream(id, error_code);
+    return 0;
+}
+
+int h2_callbacks::before_send(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+    h2_stream* stream = frame->hd.type == NGHTTP2_HEADERS ? self(user).find(frame->hd.stream_id) : nullptr;
+    if (stream != nullptr && !stream->head_sent) {
+        stream->head_sent = true;
+        stream->changed.notify();
+    }
+    return 0;
+}
+
+int h2_callbacks::not_sent(nghttp2_session* /*session*/, const nghttp2_frame* frame, int /*error*/,
+                           void* user) {
+    h2_session& owner = self(user);
+    h2_stream* stream = frame->hd.type == NGHTTP2_HEADERS ? owner.find(frame->hd.stream_id) : nullptr;
+    if (stream != nullptr && !stream->head_sent && owner.options_.role == h2_role::client) {
+        owner.close_stream(frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
+    }
+    return 0;
+}
+
+ssize_t h2_callbacks::read_body(nghttp2_session* session, std::int32_t id, std::uint8_t* buffer,
+                                std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
+                                void* /*user*/) {
+    h2_stream& stream = *static_cast<h2_stream*>(source->ptr);
+    if (stream.aborted) {
+        stream.outbound.clear();
+    }
+    const std::size_t count = stream.outbound.pop(std::as_writable_bytes(std::span(buffer, length)));
+    if (count > 0) {
+        stream.changed.notify();
+    }
+    if (stream.outbound.empty() && stream.local_ended) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+        if (stream.trailer_to_send.has_value()) {
+            *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+            submit_trailer(session, id, *stream.trailer_to_send);
+        }
+        return static_cast<ssize_t>(count);
+    }
+    return count > 0 ? static_cast<ssize_t>(count) : static_cast<ssize_t>(NGHTTP2_ERR_DEFERRED);
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/peer/head_codec.cpp
@@ -0,0 +1,208 @@
+#include "drivers/peer/head_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "core/wire/peer.pb.h"
+
+namespace teaselpitch {
+namespace {
+
+template <typename Message>
+std::string to_field(const Message& message) {
+    return absl::Base64Escape(message.SerializeAsString());
+}
+
+template <typename Message>
+std::optional<Message> from_field(std::string_view field) {
+    std::string bytes;
+    Message message;
+    if (!absl::Base64Unescape(absl::string_view(field.data(), field.size()), &bytes) ||
+        !message.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+template <typename Message>
+void put_headers(const std::vector<header_field>& headers, Message& message) {
+    for (const header_field& field : headers) {
+        wire::HeaderField* added = message.add_headers();
+        added->set_name(field.name);
+        added->set_value(field.value);
+    }
+}
+
+template <typename Message>
+std::vector<header_field> take_headers(Message& message) {
+    std::vector<header_field> headers;
+    headers.reserve(static_cast<std::size_t>(message.headers_size()));
+    for (wire::HeaderField& field : *message.mutable_headers()) {
+        headers.push_back({std::move(*field.mutable_name()), std::move(*field.mutable_value())});
+    }
+    return headers;
+}
+
+void put_load(const load_report& load, wire::LoadReport& message) {
+    message.set_target(load.target);
+    message.set_slots(load.slots);
+    message.set_running(load.running);
+    message.set_queued(load.queued);
+    message.set_badness(load.badness);
+    message.set_leaving(load.leaving);
+}
+
+load_report take_load(const wire::LoadReport& message) {
+    return {message.target(), message.slots(),   message.running(),
+            message.queued(), message.badness(), message.leaving()};
+}
+
+}  // namespace
+
+std::string encode_request(const request_head& head, steady_time now) {
+    wire::RequestHead message;
+    message.set_method(head.method);
+    message.set_path(head.path);
+    message.set_host(head.host);
+    put_headers(head.headers, message);
+    if (head.content_length.has_value()) {
+        message.set_content_length(*head.content_length);
+    }
+    message.set_has_body(head.has_body);
+    message.set_request_id(head.request_id);
+    message.set_service(head.service);
+    message.set_account(head.account);
+    message.set_idempotency_key(head.idempotency_key);
+    message.set_first_send(head.first_send);
+    message.set_non_idempotent(head.non_idempotent);
+    const auto remaining = std::chrono::duration_cast<std::chrono::microseconds>(head.deadline - now);
+    message.set_remaining_us(static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)));
+    message.mutable_target()->set_name(head.target.name);
+    message.mutable_target()->set_incarnation(head.target.incarnation);
+    message.set_detours(head.detours);
+    return to_field(message);
+}
+
+absl::StatusOr<request_head> decode_request(std::string_view field, steady_time now) {
+    std::optional<wire::RequestHead> message = from_field<wire::RequestHead>(field);
+    // A day bounds the sum with the local clock; no route has a longer timeout.
+    constexpr std::chrono::microseconds longest = std::chrono::hours{24};
+    if (!message.has_value()) {
+        return absl::InvalidArgumentError("the request head cannot be decoded");
+    }
+    request_head head;
+    head.method = std::move(*message->mutable_method());
+    head.path = std::move(*message->mutable_path());
+    head.host = std::move(*message->mutable_host());
+    head.headers = take_headers(*message);
+    if (message->has_content_length()) {
+        head.content_length = message->content_length();
+    }
+    head.has_body = message->has_body();
+    head.request_id = std::move(*message->mutable_request_id());
+    head.service = std::move(*message->mutable_service());
+    head.account = std::move(*message->mutable_account());
+    head.idempotency_key = std::move(*message->mutable_idempotency_key());
+    head.first_send = message->first_send();
+    head.non_idempotent = message->non_idempotent();
+    const std::uint64_t remaining =
+        std::min(message->remaining_us(), static_cast<std::uint64_t>(longest.count()));
+    head.deadline = now + std::chrono::microseconds(remaining);
+    head.target = {message->target().name(), message->target().incarnation()};
+    head.detours = message->detours();
+    return head;
+}
+
+std::string encode_response(const response_head& head) {
+    wire::ResponseHead message;
+    message.set_status(head.status);
+    message.set_reason(head.reason);
+    put_headers(head.headers, message);
+    if (head.content_length.has_value()) {
+        message.set_content_length(*head.content_length);
+    }
+    message.set_has_body(head.has_body);
+    message.set_target(head.target);
+    return to_field(message);
+}
+
+absl::StatusOr<response_head> decode_response(std::string_view field) {
+    std::optional<wire::ResponseHead> message = from_field<wire::ResponseHead>(field);
+    if (!message.has_value()) {
+        return absl::InvalidArgumentError("the response head cannot be decoded");
+    }
+    response_head head;
+    head.status = message->status();
+    head.reason = std::move(*message->mutable_reason());
+    head.headers = take_headers(*message);
+    if (message->has_content_length()) {
+        head.content_length = message->content_length();
+    }
+    head.has_body = message->has_body();
+    head.target = std::move(*message->mutable_target());
+    return head;
+}
+
+std::string encode_result(const exchange_result& result) {
+    wire::ExchangeResult message;
+    message.set_error(std::string(answer_of(result.error).name));
+    message.set_execution(std::string(to_string(result.execution)));
+    message.set_target_crashed(result.target_crashed);
+    message.set_detail(result.detail);
+    if (result.load.has_value()) {
+        put_load(*result.load, *message.mutable_load());
+    }
+    if (result.retry_after.has_value()) {
+        message.set_retry_after_ms(static_cast<std::uint64_t>(result.retry_after->count()));
+    }
+    return to_field(message);
+}
+
+absl::StatusOr<exchange_result> decode_result(std::string_view field) {
+    std::optional<wire::ExchangeResult> message = from_field<wire::ExchangeResult>(field);
+    if (!message.has_value()) {
+        return absl::InvalidArgumentError("the result cannot be decoded");
+    }
+    const auto error = parse_error_kind(message->error());
+    const auto execution = parse_execution_state(message->execution());
+    if (!error.has_value() || !execution.has_value()) {
+        return absl::InvalidArgumentError("the result has an unknown error kind or execution state");
+    }
+    exchange_result result;
+    result.error = *error;
+    result.execution = *execution;
+    result.target_crashed = message->target_crashed();
+    result.detail = std::move(*message->mutable_detail());
+    if (message->has_load()) {
+        result.load = take_load(message->load());
+    }
+    if (message->has_retry_after_ms()) {
+        result.retry_after = std::chrono::milliseconds(message->retry_after_ms());
+    }
+    return result;
+}
+
+std::string encode_status(const absl::Status& status) {
+    return absl::Base64Escape(std::to_string(static_cast<int>(status.code())) + " " +
+                              std::string(status.message()));
+}
+
+absl::Status decode_status(std::string_view field) {
+    std::string text;
+    if (!absl::Base64Unescape(absl::string_view(field.data(), field.size()), &text)) {
+        return absl::InternalError("the status of the peer cannot be decoded");
+    }
+    const std::size_t space = text.find(' ');
+    const int code = std::atoi(text.substr(0, space).c_str());
+    constexpr int last_code = 16;
+    if (space == std::string::npos || code < 1 || code > last_code) {
+        return absl::InternalError("the status of the peer cannot be decoded");
+    }
+    return {static_cast<absl::StatusCode>(code), text.substr(space + 1)};
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/peer/peer_server.cpp
@@ -0,0 +1,281 @@
+#include "drivers/peer/peer_server.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <unordered_set>
+#include <utility>
+
+#include "core/event_log.h"
+#include "drivers/peer/h2_session.h"
+#include "drivers/peer/head_codec.h"
+#include "drivers/peer/server_stream.h"
+
+namespace teaselpitch {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using reuse_port_option = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr std::string_view control_prefix = "/control/";
+constexpr std::string_view exchange_path = "/exchange";
+constexpr std::size_t control_read_bytes = 16'384;
+// Waits after a failed accept, for example when the process has no free descriptor.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+}  // namespace
+
+class peer_server::state : public std::enable_shared_from_this<peer_server::state> {
+public:
+    state(asio::any_io_executor executor, peer_server_options options, exchange_handler& gate,
+          control_handler control, const time_source& clock)
+        : executor_(std::move(executor)),
+          options_(std::move(options)),
+          gate_(gate),
+          control_(std::move(control)),
+          clock_(clock),
+          acceptor_(executor_),
+          changed_(executor_) {}
+
+    absl::StatusOr<endpoint> start();
+    awaitable<void> drain();
+    void stop();
+
+private:
+    absl::StatusOr<endpoint> listen();
+    awaitable<void> accept_loop();
+    void add_session(tcp::socket socket);
+    void serve(const std::shared_ptr<h2_session>& session, const std::shared_ptr<h2_stream>& stream);
+    awaitable<void> route(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream);
+    awaitable<void> serve_exchange(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream);
+    awaitable<void> serve_control(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream);
+    awaitable<absl::StatusOr<std::string>> read_payload(std::shared_ptr<h2_session> session,
+                                                        std::shared_ptr<h2_stream> stream);
+    void close_acceptor();
+    [[nodiscard]] h2_session_options session_options() const;
+
+    asio::any_io_executor executor_;
+    peer_server_options options_;
+    exchange_handler& gate_;
+    control_handler control_;
+    const time_source& clock_;
+    tcp::acceptor acceptor_;
+    std::unordered_set<std::shared_ptr<h2_session>> sessions_;
+    std::size_t handlers_ = 0;
+    async_signal changed_;
+};
+
+absl::StatusOr<endpoint> peer_server::state::listen() {
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(options_.listen.address, error);
+    if (error) {
+        return absl::InvalidArgumentError("peer listen address is not an IP number: " +
+                                          options_.listen.address);
+    }
+    const tcp::endpoint local(address, options_.listen.port);
+    acceptor_.open(local.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error && options_.reuse_port) {
+        acceptor_.set_option(reuse_port_option(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(local, error);
+    }
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return absl::UnavailableError("cannot listen on " + to_string(options_.listen) + ": " +
+                                      error.message());
+    }
+    const tcp::endpoint bound = acceptor_.local_endpoint();
+    return endpoint{bound.address().to_string(), bound.port()};
+}
+
+absl::StatusOr<endpoint> peer_server::state::start() {
+    absl::StatusOr<endpoint> bound = listen();
+    if (bound.ok()) {
+        asio::co_spawn(
+            executor_, [self = shared_from_this()]() -> awaitable<void> { co_await self->accept_loop(); },
+            asio::detached);
+    }
+    return bound;
+}
+
+awaitable<void> peer_server::state::accept_loop() {
+    asio::steady_timer pause(executor_);
+    while (acceptor_.is_open()) {
+        auto [error, socket] = co_await acceptor_.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (!error && acceptor_.is_open()) {
+            add_session(std::move(socket));
+        } else if (acceptor_.is_open()) {
+            log_event(event_level::warning, "peer_accept_failed", {{"reason", error.message()}});
+            pause.expires_after(accept_pause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+}
+
+h2_session_options peer_server::state::session_options() const {
+    h2_session_options result;
+    result.role = h2_role::server;
+    result.max_concurrent_streams = options_.max_concurrent_streams;
+    result.initial_window = options_.early_body_window;
+    result.stream_window = options_.stream_window;
+    result.ping_idle = options_.ping_idle;
+    result.ping_deadline = options_.ping_deadline;
+    return result;
+}
+
+void peer_server::state::add_session(tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto handle = std::make_shared<std::weak_ptr<h2_session>>();
+    h2_session_hooks hooks;
+    hooks.on_request = [this, handle](const std::shared_ptr<h2_stream>& stream) {
+        serve(handle->lock(), stream);
+    };
+    hooks.on_closed = [self = shared_from_this(), handle] {
+        self->sessions_.erase(handle->lock());
+        self->changed_.notify();
+    };
+    auto session = std::make_shared<h2_session>(std::move(socket), session_options(), std::move(hooks));
+    *handle = session;
+    sessions_.insert(session);
+    session->start();
+}
+
+void peer_server::state::serve(const std::shared_ptr<h2_session>& session,
+                               const std::shared_ptr<h2_stream>& stream) {
+    ++handlers_;
+    asio::co_spawn(executor_, route(session, stream),
+                   asio::bind_cancellation_slot(
+                       stream->handler_cancellation.slot(),
+                       [self = shared_from_this(), session, stream](const std::exception_ptr& failure) {
+                           --self->handlers_;
+                           self->changed_.notify();
+                           if (failure) {
+                               session->reset(*stream, NGHTTP2_INTERNAL_ERROR);
+                           }
+                       }));
+}
+
+awaitable<void> peer_server::state::route(std::shared_ptr<h2_session> session,
+                                          std::shared_ptr<h2_stream> stream) {
+    const std::string_view path = find_field(stream->head, ":path").value_or("");
+    if (path == exchange_path) {
+        co_await serve_exchange(session, stream);
+    } else if (path.starts_with(control_prefix)) {
+        co_await serve_control(session, stream);
+    } else {
+        session->respond(*stream, {{":status", "404"}}, false);
+    }
+}
+
+awaitable<void> peer_server::state::serve_exchange(std::shared_ptr<h2_session> session,
+                                                   std::shared_ptr<h2_stream> stream) {
+    server_writer writer(session, stream);
+    absl::StatusOr<request_head> head =
+        decode_request(find_field(stream->head, request_field).value_or(""), clock_.now());
+    if (!head.ok()) {
+        writer.complete(failed_exchange(error_kind::malformed_request, message_of(head.status())));
+        co_return;
+    }
+    server_body body(session, stream);
+    writer.complete(co_await gate_.exchange(*head, body, writer));
+}
+
+awaitable<absl::StatusOr<std::string>> peer_server::state::read_payload(std::shared_ptr<h2_session> session,
+                                                                        std::shared_ptr<h2_stream> stream) {
+    std::string payload;
+    std::array<std::byte, control_read_bytes> buffer{};
+    session->grant(*stream);
+    while (true) {
+        const absl::StatusOr<std::size_t> count = co_await session->receive(stream, buffer);
+        if (!count.ok() || *count == 0) {
+            co_return count.ok() ? absl::StatusOr<std::string>(std::move(payload)) : count.status();
+        }
+        payload.append(reinterpret_cast<const char*>(buffer.data()), *count);
+        if (payload.size() > options_.max_control_bytes) {
+            co_return absl::ResourceExhaustedError("the control message exceeds the limit of " +
+                                                   std::to_string(options_.max_control_bytes) + " bytes");
+        }
+    }
+}
+
+awaitable<void> peer_server::state::serve_control(std::shared_ptr<h2_session> session,
+                                                  std::shared_ptr<h2_stream> stream) {
+    const std::string method(
+        std::string_view(find_field(stream->head, ":path").value_or("")).substr(control_prefix.size()));
+    absl::StatusOr<std::string> answer = co_await read_payload(session, stream);
+    if (answer.ok()) {
+        const std::string payload = std::move(*answer);
+        answer = co_await control_(method, payload);
+    }
+    if (!answer.ok()) {
+        session->respond(*stream,
+                         {{":status", "200"}, {std::string(status_field), encode_status(answer.status())}},
+                         false);
+        co_return;
+    }
+    session->respond(*stream, {{":status", "200"}}, true);
+    const absl::Status sent = co_await session->send(stream, std::as_bytes(std::span(*answer)));
+    if (sent.ok()) {
+        session->finish(*stream, {});
+    }
+}
+
+void peer_server::state::close_acceptor() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+awaitable<void> peer_server::state::drain() {
+    close_acceptor();
+    const auto sessions = sessions_;
+    for (const auto& session : sessions) {
+        session->drain();
+    }
+    while (!sessions_.empty() || handlers_ > 0) {
+        co_await changed_.wait();
+    }
+}
+
+void peer_server::state::stop() {
+    close_acceptor();
+    const auto sessions = std::exchange(sessions_, {});
+    for (const auto& session : sessions) {
+        session->close();
+    }
+}
+
+peer_server::peer_server(asio::any_io_executor executor, peer_server_options options, exchange_handler& gate,
+                         control_handler control, const time_source& clock)
+    : state_(std::make_shared<state>(std::move(executor), std::move(options), gate, std::move(control),
+                                     clock)) {}
+
+peer_server::~peer_server() {
+    stop();
+}
+
+absl::StatusOr<endpoint> peer_server::start() {
+    return state_->start();
+}
+
+awaitable<void> peer_server::drain() {
+    return state_->drain();
+}
+
+void peer_server::stop() {
+    state_->stop();
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/peer/server_stream.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <span>
+
+#include "drivers/peer/h2_session.h"
+#include "servers/exchange/exchange.h"
+
+namespace teaselpitch {
+
+/// The request body of a stream at the server. The first read allows the peer to send.
+class server_body final : public body_reader {
+public:
+    server_body(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream)
+        : session_(std::move(session)), stream_(std::move(stream)) {}
+
+    awaitable<absl::StatusOr<std::size_t>> read_some(std::span<std::byte> buffer) override;
+
+private:
+    std::shared_ptr<h2_session> session_;
+    std::shared_ptr<h2_stream> stream_;
+    bool granted_ = false;
+};
+
+/// Writes the answer of the gate to a stream.
+class server_writer final : public response_writer {
+public:
+    server_writer(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream)
+        : session_(std::move(session)), stream_(std::move(stream)) {}
+
+    awaitable<absl::Status> write_head(const response_head& head) override;
+    awaitable<absl::Status> write_body(std::span<const std::byte> data) override;
+    awaitable<absl::Status> finish() override;
+    void abort() override;
+
+    /// Ends the stream with the result: as a trailer after the body, or alone when no head was written.
+    void complete(const exchange_result& result);
+
+private:
+    std::shared_ptr<h2_session> session_;
+    std::shared_ptr<h2_stream> stream_;
+    bool head_written_ = false;
+    bool finished_ = false;
+};
+
+}  // namespace teaselpitch
