--- /dev/null
+++ b/servers/routing/retry_policy.cpp
@@ -0,0 +1,104 @@
+#include "servers/routing/retry_policy.h"
+
+namespace teaselpitch {
+namespace {
+
+// The kinds that another target may answer differently at once. An overloaded gate refuses for its own
+// target only; the other kinds with advice "later" hold for the whole fleet.
+bool another_attempt_can_help(error_kind kind) {
+    if (kind == error_kind::cancelled) {
+        return false;
+    }
+    const retry_advice advice = answer_of(kind).advice;
+    return advice == retry_advice::now || advice == retry_advice::idempotent ||
+           kind == error_kind::overloaded;
+}
+
+}  // namespace
+
+std::string_view to_string(retry_refusal reason) {
+    constexpr std::array<std::string_view, 8> names{
+        "none",          "answer_started", "pointless",       "may_have_run",
+        "attempts_used", "body_not_kept",  "deadline_passed", "budget_empty"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+retry_policy::retry_policy(const time_source& clock, retry_options options)
+    : clock_(clock), options_(options) {}
+
+void retry_policy::on_success() {
+    const std::lock_guard lock(mutex_);
+    ++current_count().successes;
+}
+
+retry_decision retry_policy::on_failure(const failed_attempt& attempt) {
+    const std::lock_guard lock(mutex_);
+    const retry_refusal by_rule = refusal_by_rule(attempt);
+    if (by_rule != retry_refusal::none) {
+        return {.retry = false, .refusal = by_rule};
+    }
+    if (budget_locked() < 1.0) {
+        return {.retry = false, .refusal = retry_refusal::budget_empty};
+    }
+    ++current_count().retries;
+    return {.retry = true, .refusal = retry_refusal::none};
+}
+
+void retry_policy::set_budget_share(double share) {
+    const std::lock_guard lock(mutex_);
+    options_.budget_share = share;
+}
+
+double retry_policy::budget() const {
+    const std::lock_guard lock(mutex_);
+    return budget_locked();
+}
+
+retry_refusal retry_policy::refusal_by_rule(const failed_attempt& attempt) const {
+    if (attempt.head_written) {
+        return retry_refusal::answer_started;
+    }
+    if (!another_attempt_can_help(attempt.error)) {
+        return retry_refusal::pointless;
+    }
+    if (attempt.execution != execution_state::not_run && attempt.non_idempotent) {
+        return retry_refusal::may_have_run;
+    }
+    if (attempt.attempts >= options_.max_attempts) {
+        return retry_refusal::attempts_used;
+    }
+    if (attempt.body_consumed > options_.replay_limit) {
+        return retry_refusal::body_not_kept;
+    }
+    if (clock_.now() >= attempt.deadline) {
+        return retry_refusal::deadline_passed;
+    }
+    return retry_refusal::none;
+}
+
+std::int64_t retry_policy::current_second() const {
+    return std::chrono::duration_cast<std::chrono::seconds>(clock_.now().time_since_epoch()).count();
+}
+
+retry_policy::second_count& retry_policy::current_count() {
+    const std::int64_t second = current_second();
+    second_count& count = counts_[static_cast<std::size_t>(second) % window_seconds];
+    if (count.second != second) {
+        count = second_count{.second = second};
+    }
+    return count;
+}
+
+double retry_policy::budget_locked() const {
+    const std::int64_t oldest = current_second() - static_cast<std::int64_t>(window_seconds) + 1;
+    double budget = options_.floor_per_s * static_cast<double>(window_seconds);
+    for (const second_count& count : counts_) {
+        if (count.second >= oldest) {
+            budget += options_.budget_share * static_cast<double>(count.successes);
+            budget -= static_cast<double>(count.retries);
+        }
+    }
+    return budget;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/servers/routing/route_index.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "servers/routing/name_map.h"
+
+namespace teaselpitch {
+
+/// Column non_idempotent of a route row.
+enum class idempotency_rule : std::uint8_t {
+    automatic,       ///< POST and PATCH are non-idempotent.
+    non_idempotent,  ///< Every method is non-idempotent.
+    idempotent,      ///< Every method is idempotent.
+};
+
+/// One route as a plain value.
+struct route_entry {
+    std::string host;         ///< Host without port, compared without regard to case; "*" is any host.
+    std::string path_prefix;  ///< Starts with a slash; a slash at the end is ignored.
+    std::string service;
+    idempotency_rule rule = idempotency_rule::automatic;
+    std::chrono::milliseconds timeout{0};
+};
+
+/// The route of one request. The views refer to the index and live as long as it does.
+struct route_match {
+    std::string_view service;
+    std::string_view path_prefix;
+    bool non_idempotent = false;
+    std::chrono::milliseconds timeout{0};
+};
+
+/// Says whether the rule makes a request with this method non-idempotent.
+bool is_non_idempotent(idempotency_rule rule, std::string_view method);
+
+/// Immutable index from host and path to route; shared between threads without a lock.
+///
+/// A host that is named exactly is searched before "*". When none of its prefixes matches, the
+/// prefixes of "*" are searched. Of two routes with the same host and prefix the first one counts.
+class route_index {
+public:
+    explicit route_index(std::span<const route_entry> routes);
+
+    /// Finds the longest prefix that ends at a path-segment boundary; the query string is ignored.
+    /// Does not allocate.
+    [[nodiscard]] std::optional<route_match> find(std::string_view host, std::string_view path,
+                                                  std::string_view method) const;
+
+    /// Number of distinct pairs of host and prefix.
+    [[nodiscard]] std::size_t size() const { return routes_.size(); }
+
+private:
+    struct host_routes {
+        name_map<std::uint32_t> by_prefix;
+        std::size_t longest_prefix = 0;
+    };
+
+    [[nodiscard]] const route_entry* find_in(std::string_view host, std::string_view path) const;
+
+    std::vector<route_entry> routes_;
+    name_map<host_routes> hosts_;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/servers/routing/target_chooser.cpp
@@ -0,0 +1,304 @@
+#include "servers/routing/target_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <limits>
+#include <utility>
+
+#include "absl/container/inlined_vector.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr double full_share = 1.0;
+constexpr double least_ramp = 0.02;        // A target that has just become ready needs some work to warm up.
+constexpr double same_badness = 0.1;       // Targets within this distance count as equally bad.
+constexpr std::size_t usual_targets = 48;  // 35 targets per service on average at the two-year size.
+constexpr std::size_t usual_zones = 4;
+
+// SplitMix64: a counter makes a random sequence that many threads can draw from.
+std::uint64_t mix(std::uint64_t value) {
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+std::int64_t to_ns(steady_time time) {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
+}
+
+bool contains(std::span<const std::string> names, const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+chosen_target::chosen_target(target_identity target, std::string node, std::string zone,
+                             std::shared_ptr<target_load> load)
+    : target_(std::move(target)), node_(std::move(node)), zone_(std::move(zone)), load_(std::move(load)) {
+    load_->outstanding.fetch_add(1, std::memory_order_relaxed);
+}
+
+chosen_target& chosen_target::operator=(chosen_target&& other) noexcept {
+    if (this != &other) {
+        release();
+        target_ = std::move(other.target_);
+        node_ = std::move(other.node_);
+        zone_ = std::move(other.zone_);
+        load_ = std::move(other.load_);
+    }
+    return *this;
+}
+
+chosen_target::~chosen_target() {
+    release();
+}
+
+void chosen_target::release() {
+    if (load_ != nullptr) {
+        load_->outstanding.fetch_sub(1, std::memory_order_relaxed);
+        load_.reset();
+    }
+}
+
+// Weights and loads of one choice.
+struct target_chooser::draw {
+    const view& current;
+    steady_time now;
+    absl::InlinedVector<double, usual_targets> weights{};
+    absl::InlinedVector<double, usual_targets> loads{};
+    absl::InlinedVector<bool, usual_targets> partial{};
+    absl::InlinedVector<double, usual_zones> zone_load{};
+    absl::InlinedVector<double, usual_zones> zone_capacity{};
+    double full_weight = 0;
+    double partial_weight = 0;
+};
+
+target_chooser::target_chooser(const time_source& clock, chooser_options options, std::uint64_t seed)
+    : clock_(clock), options_(std::move(options)), seed_(seed), view_(std::make_shared<const view>()) {}
+
+void target_chooser::update(std::span<const choosable_target> targets, std::span<const zone_limit> limits) {
+    view_.update(build_view(targets, limits));
+}
+
+std::shared_ptr<target_chooser::view> target_chooser::build_view(std::span<const choosable_target> targets,
+                                                                 std::span<const zone_limit> limits) const {
+    const std::shared_ptr<const view> previous = view_.read();
+    auto next = std::make_shared<view>();
+    for (const choosable_target& target : targets) {
+        auto zone = std::find_if(next->zones.begin(), next->zones.end(),
+                                 [&](const view_zone& known) { return known.name == target.zone; });
+        if (zone == next->zones.end()) {
+            const auto limit = std::find_if(limits.begin(), limits.end(), [&](const zone_limit& candidate) {
+                return candidate.zone == target.zone;
+            });
+            const double concurrent = limit == limits.end() ? std::numeric_limits<double>::infinity()
+                                                            : static_cast<double>(limit->concurrent);
+            zone = next->zones.insert(zone, {.name = target.zone, .limit = concurrent});
+        }
+        std::shared_ptr<target_load> load;
+        const auto known = previous->by_name.find(target.identity.name);
+        if (known != previous->by_name.end() &&
+            previous->targets[known->second].target.identity == target.identity) {
+            load = previous->targets[known->second].load;
+        } else {
+            load = std::make_shared<target_load>();
+        }
+        next->by_name[target.identity.name] = static_cast<std::uint32_t>(next->targets.size());
+        next->targets.push_back({.target = target,
+                                 .zone = static_cast<std::uint32_t>(zone - next->zones.begin()),
+                                 .load = std::move(load)});
+    }
+    return next;
+}
+
+void target_chooser::on_load(const load_report& report) {
+    const std::shared_ptr<const view> current = view_.read();
+    const auto found = current->by_name.find(report.target);
+    if (found == current->by_name.end()) {
+        return;
+    }
+    target_load& load = *current->targets[found->second].load;
+    const auto total = static_cast<std::int32_t>(report.running + report.queued);
+    const std::int32_t own = load.outstanding.load(std::memory_order_relaxed);
+    load.others.store(std::max(0, total - own), std::memory_order_relaxed);
+    load.reported_at_ns.store(to_ns(clock_.now()), std::memory_order_relaxed);
+    if (report.leaving) {
+        load.leaving.store(true, std::memory_order_relaxed);
+    }
+}
+
+choice target_chooser::choose(std::span<const std::string> excluded) {
+    const std::shared_ptr<const view> current = view_.read();
+    draw state{.current = *current, .now = clock_.now()};
+    weigh(state, excluded);
+    if (state.full_weight + state.partial_weight <= 0) {
+        return {.target = std::nullopt, .error = error_kind::no_target};
+    }
+    const std::optional<std::size_t> index = draw_target(state);
+    if (!index) {
+        return {.target = std::nullopt, .error = error_kind::overloaded};
+    }
+    const view_target& chosen = current->targets[*index];
+    return {
+        .target = chosen_target(chosen.target.identity, chosen.target.node, chosen.target.zone, chosen.load),
+        .error = error_kind::none};
+}
+
+std::optional<double> target_chooser::load_of(std::string_view target) const {
+    const std::shared_ptr<const view> current = view_.read();
+    const auto found = current->by_name.find(target);
+    if (found == current->by_name.end()) {
+        return std::nullopt;
+    }
+    const view_target& subject = current->targets[found->second];
+    return load_at(subject, clock_.now()) / std::max(1U, subject.target.slots);
+}
+
+// Requests that run or wait at the target: the others' part of the last report loses weight with its age.
+double target_chooser::load_at(const view_target& target, steady_time now) const {
+    const target_load& load = *target.load;
+    const double own = load.outstanding.load(std::memory_order_relaxed);
+    const std::int64_t reported_at = load.reported_at_ns.load(std::memory_order_relaxed);
+    if (reported_at == 0) {
+        return own;
+    }
+    const auto age = std::chrono::nanoseconds(to_ns(now) - reported_at);
+    const double weight = 1.0 - std::chrono::duration<double>(age) / options_.report_lifetime;
+    return own + std::clamp(weight, 0.0, 1.0) * load.others.load(std::memory_order_relaxed);
+}
+
+double target_chooser::share_at(const view_target& target, steady_time now) const {
+    const auto ready_for = std::chrono::duration<double>(now - target.target.ready_since);
+    const double ramp = std::clamp(ready_for / options_.warm_up, least_ramp, full_share);
+    return target.target.share * ramp;
+}
+
+void target_chooser::weigh(draw& state, std::span<const std::string> excluded) const {
+    const std::vector<view_target>& targets = state.current.targets;
+    state.weights.resize(targets.size());
+    state.loads.resize(targets.size());
+    state.partial.resize(targets.size());
+    state.zone_load.resize(state.current.zones.size());
+    state.zone_capacity.resize(state.current.zones.size());
+    double least_badness = std::numeric_limits<double>::infinity();
+    bool any_share = false;
+    const auto takes_work = [](const view_target& item) {
+        return item.target.takes_work && item.target.weight > 0 &&
+               !item.load->leaving.load(std::memory_order_relaxed);
+    };
+    for (const view_target& item : targets) {
+        if (takes_work(item)) {
+            any_share = any_share || item.target.share > 0;
+            least_badness = std::min(least_badness, item.target.badness);
+        }
+    }
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const view_target& item = targets[i];
+        state.loads[i] = load_at(item, state.now);
+        state.zone_load[item.zone] += state.loads[i];
+        if (!takes_work(item) || contains(excluded, item.target.identity.name)) {
+            continue;
+        }
+        const bool least_bad = item.target.badness <= least_badness + same_badness;
+        const double share = any_share ? share_at(item, state.now) : (least_bad ? full_share : 0.0);
+        state.weights[i] = item.target.slots * item.target.weight * share;
+        state.partial[i] = share < full_share;
+        (state.partial[i] ? state.partial_weight : state.full_weight) += state.weights[i];
+        state.zone_capacity[item.zone] += item.target.slots * share;
+    }
+}
+
+std::optional<std::size_t> target_chooser::draw_target(draw& state) {
+    double position = next_random() * (state.full_weight + state.partial_weight);
+    if (position < state.partial_weight) {
+        for (std::size_t i = 0; i < state.weights.size(); ++i) {
+            if (state.partial[i] && state.weights[i] > 0 && (position -= state.weights[i]) < 0) {
+                return i;
+            }
+        }
+    }
+    const std::optional<std::uint32_t> zone = draw_zone(state);
+    if (!zone) {
+        return std::nullopt;
+    }
+    return draw_in_zone(state, *zone);
+}
+
+// Zones that have a target at full share and are below their limit.
+std::optional<std::uint32_t> target_chooser::draw_zone(draw& state) {
+    const std::vector<view_zone>& zones = state.current.zones;
+    absl::InlinedVector<double, usual_zones> room(zones.size(), 0.0);
+    absl::InlinedVector<bool, usual_zones> open(zones.size(), false);
+    for (std::size_t i = 0; i < state.weights.size(); ++i) {
+        const std::uint32_t zone = state.current.targets[i].zone;
+        open[zone] = open[zone] ||
+                     (state.weights[i] > 0 && !state.partial[i] && state.zone_load[zone] < zones[zone].limit);
+    }
+    double total = 0;
+    for (std::size_t z = 0; z < zones.size(); ++z) {
+        if (!open[z]) {
+            continue;
+        }
+        const double own_limit = options_.own_zone_load * state.zone_capacity[z];
+        if (zones[z].name == options_.own_zone && state.zone_load[z] < own_limit) {
+            return static_cast<std::uint32_t>(z);
+        }
+        // A full zone keeps a small part, so that the choice does not fail when no zone has room.
+        room[z] = std::max(state.zone_capacity[z] - state.zone_load[z], 0.01 * state.zone_capacity[z]);
+        total += room[z];
+    }
+    double position = next_random() * total;
+    std::optional<std::uint32_t> last;
+    for (std::size_t z = 0; z < zones.size(); ++z) {
+        if (open[z]) {
+            last = static_cast<std::uint32_t>(z);
+            if ((position -= room[z]) < 0) {
+                break;
+            }
+        }
+    }
+    return last;
+}
+
+// Power of two choices among the zone's targets at full share; the zone has at least one.
+std::size_t target_chooser::draw_in_zone(draw& state, std::uint32_t zone) {
+    const auto weight_of = [&](std::size_t i) {
+        return state.current.targets[i].zone == zone && !state.partial[i] ? state.weights[i] : 0.0;
+    };
+    const std::size_t count = state.weights.size();
+    const auto sample = [&](std::size_t without) {
+        double total = 0;
+        for (std::size_t i = 0; i < count; ++i) {
+            total += i == without ? 0.0 : weight_of(i);
+        }
+        double position = next_random() * total;
+        std::size_t last = count;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (i != without && weight_of(i) > 0) {
+                last = i;
+                if ((position -= weight_of(i)) < 0) {
+                    break;
+                }
+            }
+        }
+        return last;
+    };
+    const std::size_t first = sample(count);
+    const std::size_t second = sample(first);
+    if (second == count) {
+        return first;
+    }
+    const auto load_per_slot = [&](std::size_t i) {
+        return state.loads[i] / std::max(1U, state.current.targets[i].target.slots);
+    };
+    return load_per_slot(second) < load_per_slot(first) ? second : first;
+}
+
+double target_chooser::next_random() {
+    const std::uint64_t draw = draws_.fetch_add(1, std::memory_order_relaxed);
+    return static_cast<double>(mix(seed_ + (draw + 1) * 0x9e3779b97f4a7c15U) >> 11U) * 0x1.0p-53;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/tests/servers/routing/route_index_test.cpp
@@ -0,0 +1,94 @@
+#include "servers/routing/route_index.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace teaselpitch {
+
+std::ostream& operator<<(std::ostream& out, idempotency_rule rule) {
+    return out << static_cast<int>(rule);
+}
+
+BOOST_AUTO_TEST_SUITE(routes)
+
+using namespace std::chrono_literals;
+
+const std::vector<route_entry> small_table{
+    {"*", "/", "any", idempotency_rule::automatic, 1s},
+    {"*", "/api", "any_api", idempotency_rule::automatic, 1s},
+    {"shop.example", "/orders", "orders", idempotency_rule::automatic, 2s},
+    {"shop.example", "/orders/archive/", "archive", idempotency_rule::idempotent, 3s},
+    {"shop.example", "/orders", "never", idempotency_rule::automatic, 9s},
+    {"Limits.Example", "/", "limits", idempotency_rule::non_idempotent, 4s},
+};
+
+const std::vector<std::tuple<std::string, std::string, std::string>> lookups{
+    {"shop.example", "/orders", "orders"},
+    {"SHOP.example", "/orders/7", "orders"},
+    {"shop.example", "/orders?x=/archive", "orders"},
+    {"shop.example", "/orders/archive", "archive"},
+    {"shop.example", "/orders/archive/2020/1", "archive"},
+    {"shop.example", "/orders/archives", "orders"},
+    {"shop.example", "/ordersarchive", "any"},
+    {"shop.example", "/api/1", "any_api"},
+    {"other.example", "/orders", "any"},
+    {"limits.example", "/api", "limits"},
+    {"limits.example", "/?a=b", "limits"},
+    {"", "/api?query", "any_api"},
+    {std::string(300, 'h'), "/apix", "any"},
+    {"shop.example", "no-slash", ""},
+    {"shop.example", "", ""},
+};
+
+// Guards against a request that reaches the service of another host, of a shorter prefix or of a name
+// that merely begins with the prefix.
+BOOST_DATA_TEST_CASE(longest_segment_prefix_of_the_best_host, boost::unit_test::data::make(lookups), host,
+                     path, service) {
+    const route_index index(small_table);
+    const auto found = index.find(host, path, "GET");
+    BOOST_TEST((found ? found->service : "") == service);
+}
+
+const std::vector<std::tuple<idempotency_rule, std::string, bool>> methods{
+    {idempotency_rule::automatic, "GET", false},      {idempotency_rule::automatic, "PUT", false},
+    {idempotency_rule::automatic, "DELETE", false},   {idempotency_rule::automatic, "POST", true},
+    {idempotency_rule::automatic, "PATCH", true},     {idempotency_rule::non_idempotent, "GET", true},
+    {idempotency_rule::non_idempotent, "POST", true}, {idempotency_rule::idempotent, "POST", false},
+    {idempotency_rule::idempotent, "GET", false},
+};
+
+// Guards against a non-idempotent request that is retried as an idempotent one.
+BOOST_DATA_TEST_CASE(method_and_rule_decide_idempotency, boost::unit_test::data::make(methods), rule, method,
+                     expected) {
+    const std::vector<route_entry> routes{{"*", "/", "any", rule, 1s}};
+    const route_index index(routes);
+    const auto found = index.find("host", "/x", method);
+    BOOST_TEST_REQUIRE(found.has_value());
+    BOOST_TEST(found->non_idempotent == expected);
+}
+
+// Guards against collisions and lost routes at the two-year size.
+BOOST_AUTO_TEST_CASE(holds_28000_routes) {
+    std::vector<route_entry> routes;
+    for (int i = 0; i < 28'000; ++i) {
+        const std::string number = std::to_string(i);
+        routes.push_back({"host" + std::to_string(i % 700), "/tenant/" + number, "service" + number,
+                          idempotency_rule::automatic, 1s});
+    }
+    const route_index index(routes);
+    BOOST_TEST(index.size() == routes.size());
+    for (int i = 0; i < 28'000; ++i) {
+        const std::string number = std::to_string(i);
+        const auto found = index.find("host" + std::to_string(i % 700), "/tenant/" + number + "/a?b", "GET");
+        BOOST_TEST_REQUIRE((found && found->service == "service" + number), number);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch
