Route per service on a node

service_router joins ejection, choice and retries of one service; node_metrics exports counters in the Prometheus format. Not yet wired into a program.

--- /dev/null
+++ b/modules/node/node_metrics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/error_kind.h"
+
+namespace teaselpitch {
+
+/// Metrics of one node in the Prometheus text format. Safe for use by several threads.
+class node_metrics {
+public:
+    node_metrics();
+
+    // Commands.
+    void count_request(std::string_view service, error_kind error, std::chrono::nanoseconds latency);
+    void count_attempt(std::string_view service, error_kind error);
+    void count_gate_refusal(std::string_view service, error_kind error);
+    void count_gate_run(std::string_view service, std::chrono::nanoseconds latency);
+    void count_silent_connection();
+    void set_table_version(std::uint64_t version);
+    void set_known(std::size_t nodes, std::size_t targets);
+    void set_log_available(bool available);
+    void set_claims(std::size_t live, std::size_t bytes);
+
+    // Queries.
+    [[nodiscard]] std::string text() const;
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Histogram>& request_seconds_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& gate_refusals_;
+    prometheus::Family<prometheus::Histogram>& gate_seconds_;
+    prometheus::Counter& silent_connections_;
+    prometheus::Gauge& table_version_;
+    prometheus::Gauge& known_nodes_;
+    prometheus::Gauge& known_targets_;
+    prometheus::Gauge& log_available_;
+    prometheus::Gauge& live_claims_;
+    prometheus::Gauge& claim_bytes_;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/service_directory.cpp
@@ -0,0 +1,39 @@
+#include "modules/node/service_directory.h"
+
+#include <utility>
+
+namespace teaselpitch {
+
+service_directory::service_directory(const time_source& clock, chooser_options options, decision_log& decisions,
+                                     std::function<void(const std::string&)> shares_changed)
+    : clock_(clock),
+      options_(std::move(options)),
+      decisions_(decisions),
+      shares_changed_(std::move(shares_changed)),
+      routers_(std::make_shared<const router_map>()) {}
+
+service_router& service_directory::router(const std::string& service) {
+    if (const std::shared_ptr<service_router> known = find(service)) {
+        return *known;
+    }
+    auto created = std::make_shared<service_router>(clock_, service, options_, seeds_(), decisions_,
+                                                    [this, service] { shares_changed_(service); });
+    auto next = std::make_shared<router_map>(*routers_.read());
+    next->emplace(service, created);
+    routers_.update(std::move(next));
+    return *created;
+}
+
+void service_directory::on_tick() {
+    for (const auto& [service, router] : *routers_.read()) {
+        router->on_tick();
+    }
+}
+
+std::shared_ptr<service_router> service_directory::find(std::string_view service) const {
+    const auto routers = routers_.read();
+    const auto found = routers->find(service);
+    return found == routers->end() ? nullptr : found->second;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/service_router.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/rcu_cell.h"
+#include "servers/records/decision_log.h"
+#include "servers/routing/ejector.h"
+#include "servers/routing/name_map.h"
+#include "servers/routing/retry_policy.h"
+#include "servers/routing/target_chooser.h"
+
+namespace teaselpitch {
+
+/// What the table says about one service, as routing uses it.
+struct service_rules {
+    struct zone_rule {
+        std::string zone;  ///< Empty for the rule of all other zones.
+        double weight = 1;
+        std::uint32_t limit = 0;  ///< Concurrent requests of the zone; 0 for none.
+        double floor_share = 0;   ///< 0..1
+    };
+    std::vector<zone_rule> zones;
+    double retry_budget_share = 0.1;
+};
+
+/// The routing of one service on this node: ejection, choice of target and retries.
+///
+/// Evidence and choices come from the shards; refresh() runs on the control thread only.
+class service_router {
+public:
+    service_router(const time_source& clock, std::string service, chooser_options options, std::uint64_t seed,
+                   decision_log& decisions, std::function<void()> shares_changed);
+
+    // Commands for the control thread.
+    void on_targets(std::vector<registered_target> targets);
+    void on_rules(const service_rules& rules);
+    void on_tick();
+    /// Rebuilds the chooser's view when the ejector changed its shares.
+    void refresh();
+
+    // Commands for any thread.
+    void on_load(const load_report& report);
+    void on_path(std::string_view target, double badness);
+    void on_node_path(std::string_view node, double badness);
+    void on_hint(std::string_view target, std::string_view origin_node, std::string_view origin_zone,
+                 double badness);
+    void on_gossiped_verdict(std::string_view target, double badness);
+    choice choose(std::span<const std::string> tried) { return chooser_.choose(tried); }
+    retry_policy& retries() { return retries_; }
+
+    // Queries.
+    [[nodiscard]] const std::string& service() const { return service_; }
+    [[nodiscard]] const ejector& ejections() const { return ejector_; }
+    /// Name of the node that guards a target; empty when the target is unknown.
+    [[nodiscard]] std::string node_of(std::string_view target) const;
+    [[nodiscard]] std::vector<registered_target> targets() const;
+
+private:
+    void take(const std::vector<ejector_decision>& decisions);
+    [[nodiscard]] const service_rules::zone_rule& rule_of(std::string_view zone) const;
+    [[nodiscard]] std::vector<choosable_target> choosable_targets() const;
+
+    const std::string service_;
+    decision_log& decisions_;
+    const std::function<void()> shares_changed_;
+    ejector ejector_;
+    target_chooser chooser_;
+    retry_policy retries_;
+    rcu_cell<name_map<std::string>> node_by_target_;
+
+    mutable std::mutex mutex_;  ///< Guards the two members below.
+    std::vector<registered_target> targets_;
+    service_rules rules_;
+    std::uint64_t refreshed_version_ = 0;  ///< Control thread only.
+};
+
+}  // namespace teaselpitch
