Add the table, its replica, the log client and the stand-in log

Change: typed rows described by one column table per kind, the text form, validation, differences, the replica that judges log records, the publisher of an edit, an HTTP log client and follower, and the stand-in log.

--- /dev/null
+++ b/core/json.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/drivers/log/http_call.cpp
@@ -0,0 +1,74 @@
+#include "drivers/log/http_call.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace teaselpitch::log_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t max_answer_bytes = std::uint64_t{256} << 20;
+
+response failure(response state, std::string_view step, const beast::error_code& error) {
+    state.detail = std::string(step) + ": " + error.message();
+    return state;
+}
+
+http::request<http::string_body> make_request(const endpoint& address, request message) {
+    http::request<http::string_body> head{http::string_to_verb(message.method), message.target, 11};
+    head.set(http::field::host, to_string(address));
+    head.keep_alive(false);
+    if (!message.body.empty()) {
+        head.set(http::field::content_type, message.content_type);
+        head.body() = std::move(message.body);
+    }
+    head.prepare_payload();
+    return head;
+}
+
+}  // namespace
+
+awaitable<response> call(endpoint address, request message, std::chrono::milliseconds timeout) {
+    response result;
+    beast::error_code address_error;
+    const auto number = asio::ip::make_address(address.address, address_error);
+    if (address_error) {
+        co_return failure(result, "address " + address.address, address_error);
+    }
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    const auto [connect_error] =
+        co_await stream.async_connect(tcp::endpoint(number, address.port), as_result);
+    if (connect_error) {
+        co_return failure(result, "connect", connect_error);
+    }
+    const auto head = make_request(address, std::move(message));
+    result.sent = true;
+    const auto [write_error, written] = co_await http::async_write(stream, head, as_result);
+    if (write_error) {
+        co_return failure(result, "send", write_error);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    const auto [read_error, received] = co_await http::async_read(stream, buffer, parser, as_result);
+    if (read_error) {
+        co_return failure(result, "receive", read_error);
+    }
+    result.answered = true;
+    result.status = parser.get().result_int();
+    result.body = std::move(parser.get().body());
+    co_return result;
+}
+
+}  // namespace teaselpitch::log_http
--- /dev/null
+++ b/servers/table/rows.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace teaselpitch {
+
+enum class row_kind : std::uint8_t { service, route, account };
+inline constexpr std::array row_kinds{row_kind::service, row_kind::route, row_kind::account};
+
+std::string_view to_string(row_kind kind);
+std::optional<row_kind> parse_row_kind(std::string_view text);
+
+/// Stands for every zone, host or service in a key.
+inline constexpr std::string_view any_value = "*";
+
+/// The two key cells of a row; views into the row.
+struct row_key {
+    std::string_view first;
+    std::string_view second;
+
+    auto operator<=>(const row_key&) const = default;
+};
+
+/// Text of a key for messages: FIRST/SECOND, or HOST followed by the path prefix.
+std::string key_text(row_kind kind, row_key key);
+
+enum class detection_policy : std::uint8_t { cautious, balanced, fast };
+
+/// Whether requests of a route may run more than once; automatic decides by method.
+enum class non_idempotent_rule : std::uint8_t { automatic, yes, no };
+
+std::string_view to_string(detection_policy value);
+std::string_view to_string(non_idempotent_rule value);
+
+// The member initialisers of the rows are the defaults of blank cells.
+
+/// Settings of a service in one availability zone, or in all zones without a row of their own.
+struct service_row {
+    static constexpr row_kind kind = row_kind::service;
+
+    std::string service;
+    std::string availability_zone{any_value};
+    std::uint32_t weight = 100;
+    std::uint32_t limit = 0;   ///< Concurrent requests of the service in the zone; 0 is no limit.
+    std::uint32_t floor = 60;  ///< Percent of healthy capacity that ejection must leave.
+    detection_policy policy = detection_policy::balanced;
+    std::uint32_t timeout_ms = 10'000;
+    std::uint32_t queue_ms = 100;
+    std::uint32_t retry_budget_pct = 10;
+    double objective_pct = 99.9;
+    std::uint32_t objective_latency_ms = 0;  ///< 0 is no latency objective.
+
+    [[nodiscard]] row_key key() const { return {service, availability_zone}; }
+    bool operator==(const service_row&) const = default;
+};
+
+/// Sends requests by host and longest path prefix to a service.
+struct route_row {
+    static constexpr row_kind kind = row_kind::route;
+
+    std::string host{any_value};
+    std::string path_prefix;
+    std::string service;
+    non_idempotent_rule non_idempotent = non_idempotent_rule::automatic;
+    std::uint32_t timeout_ms = 0;  ///< 0 takes the timeout of the service.
+
+    [[nodiscard]] row_key key() const { return {host, path_prefix}; }
+    bool operator==(const route_row&) const = default;
+};
+
+/// Request rate of a client account at one service, or at all services together.
+struct account_row {
+    static constexpr row_kind kind = row_kind::account;
+
+    std::string account;
+    std::string service{any_value};
+    std::uint32_t requests_per_s = 0;  ///< 0 refuses every request.
+
+    [[nodiscard]] row_key key() const { return {account, service}; }
+    bool operator==(const account_row&) const = default;
+};
+
+using any_row = std::variant<service_row, route_row, account_row>;
+
+row_kind kind_of(const any_row& row);
+row_key key_of(const any_row& row);
+
+/// Sets a row, or removes the row with the same key.
+struct row_change {
+    any_row row;
+    bool remove = false;
+
+    bool operator==(const row_change&) const = default;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/servers/table/table_issue.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "servers/table/rows.h"
+
+namespace teaselpitch {
+
+/// One reason why a table, a row or an edit is refused.
+struct table_issue {
+    row_kind kind = row_kind::service;
+    std::string key;     ///< Text of the row's key; empty when the issue has no row.
+    std::string column;  ///< Empty when the issue concerns the whole row.
+    std::string reason;
+    std::size_t line = 0;  ///< Line of the text form, from 1; 0 when there is none.
+
+    bool operator==(const table_issue&) const = default;
+};
+
+/// One line: line, kind, key, column and reason.
+std::string to_string(const table_issue& issue);
+
+/// Joins at most `limit` issues for a message and counts the rest.
+std::string to_string(const std::vector<table_issue>& issues, std::size_t limit = 5);
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/servers/table/table_validation.cpp
@@ -0,0 +1,156 @@
+#include "servers/table/table_validation.h"
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+#include "servers/table/columns.h"
+
+namespace teaselpitch {
+namespace {
+
+using issue_list = std::vector<table_issue>;
+
+template <typename Row>
+void add(issue_list& issues, const Row& row, std::string column, std::string reason) {
+    issues.push_back({Row::kind, key_text(Row::kind, row.key()), std::move(column), std::move(reason), 0});
+}
+
+void check_service_reference(const table& value, const auto& row, issue_list& issues) {
+    if (!value.has_service(row.service)) {
+        add(issues, row, "service", "service \"" + row.service + "\" has no row");
+    }
+}
+
+void check(const table&, const service_row& row, issue_list& issues) {
+    if (row.queue_ms > row.timeout_ms) {
+        add(issues, row, "queue_ms", "exceeds timeout_ms of the row");
+    }
+    if (row.objective_latency_ms > row.timeout_ms) {
+        add(issues, row, "objective_latency_ms", "exceeds timeout_ms of the row");
+    }
+}
+
+void check(const table& value, const route_row& row, issue_list& issues) {
+    check_service_reference(value, row, issues);
+}
+
+void check(const table& value, const account_row& row, issue_list& issues) {
+    if (row.service != any_value) {
+        check_service_reference(value, row, issues);
+    }
+}
+
+void check_weight(const table& value, std::string_view service, issue_list& issues) {
+    bool any_row = false;
+    bool weighted = false;
+    value.services().for_each_of_service(service, [&](const service_row& row) {
+        any_row = true;
+        weighted = weighted || row.weight > 0;
+    });
+    if (any_row && !weighted) {
+        issues.push_back({row_kind::service, std::string(service), "weight",
+                          "the service has no row with a weight above 0", 0});
+    }
+}
+
+template <typename Row>
+void check_all(const table& value, issue_list& issues) {
+    for (const Row* row : value.rows<Row>().sorted()) {
+        check(value, *row, issues);
+    }
+}
+
+template <typename Row>
+void check_cells(const table& value, issue_list& issues) {
+    for (const Row* row : value.rows<Row>().sorted()) {
+        parse_row(Row::kind, cells_of(*row), issues);
+    }
+}
+
+void check_changed_row(const table& after, const row_change& change, issue_list& issues) {
+    if (!change.remove) {
+        std::visit([&](const auto& row) { check(after, row, issues); }, change.row);
+    }
+}
+
+std::set<std::string_view> changed_services(std::span<const row_change> changes) {
+    std::set<std::string_view> services;
+    for (const row_change& change : changes) {
+        if (const auto* row = std::get_if<service_row>(&change.row)) {
+            services.insert(row->service);
+        }
+    }
+    return services;
+}
+
+}  // namespace
+
+issue_list validate_table(const table& value) {
+    issue_list issues;
+    check_cells<service_row>(value, issues);
+    check_cells<route_row>(value, issues);
+    check_cells<account_row>(value, issues);
+    const issue_list contradictions = find_contradictions(value);
+    issues.insert(issues.end(), contradictions.begin(), contradictions.end());
+    return issues;
+}
+
+issue_list find_contradictions(const table& value) {
+    issue_list issues;
+    check_all<service_row>(value, issues);
+    check_all<route_row>(value, issues);
+    check_all<account_row>(value, issues);
+    std::string_view previous;
+    for (const service_row* row : value.services().sorted()) {
+        if (row->service != previous) {
+            check_weight(value, row->service, issues);
+            previous = row->service;
+        }
+    }
+    return issues;
+}
+
+issue_list find_duplicates(std::span<const row_change> changes) {
+    issue_list issues;
+    std::set<std::tuple<row_kind, row_key>> seen;
+    for (const row_change& change : changes) {
+        const row_kind kind = kind_of(change.row);
+        const row_key key = key_of(change.row);
+        if (!seen.insert({kind, key}).second) {
+            issues.push_back({kind, key_text(kind, key), "", "the key occurs more than once", 0});
+        }
+    }
+    return issues;
+}
+
+issue_list validate_changes(const table& before, std::span<const row_change> changes, const table& after) {
+    issue_list issues = find_duplicates(changes);
+    for (const row_change& change : changes) {
+        const row_kind kind = kind_of(change.row);
+        const row_key key = key_of(change.row);
+        if (change.remove && !before.contains(kind, key)) {
+            issues.push_back({kind, key_text(kind, key), "", "the row to remove does not exist", 0});
+        }
+    }
+    const auto services = changed_services(changes);
+    for (const std::string_view service : services) {
+        // References to a removed service can be anywhere, so the whole table is searched.
+        if (!after.has_service(service) && before.has_service(service)) {
+            const issue_list all = find_contradictions(after);
+            issues.insert(issues.end(), all.begin(), all.end());
+            return issues;
+        }
+    }
+    for (const row_change& change : changes) {
+        check_changed_row(after, change, issues);
+    }
+    for (const std::string_view service : services) {
+        check_weight(after, service, issues);
+    }
+    return issues;
+}
+
+}  // namespace teaselpitch
