--- a/main/standin_log/main.cpp
+++ b/main/standin_log/main.cpp
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "core/event_log.h"
-#include "drivers/log/endpoint_text.h"
 #include "main/standin_log/standin_log_server.h"
 
 namespace teaselpitch {
@@ -53,7 +52,7 @@
     }
     retention.max_age = std::chrono::seconds(retention_s);
     const auto address = parse_endpoint(listen);
-    if (!address) {
+    if (!address.ok()) {
         log_event(event_level::error, "bad_usage", {{"listen", listen}, {"reason", "not ADDRESS:PORT"}});
         return status_usage;
     }
