Add the HTTP drivers: caller server, target client, admin server and calls

Cause: the node, the log client and the command line need HTTP/1.1 in both directions behind the streaming exchange interface.

Boost.JSON is added to the dependencies for quoting.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,6 +1,6 @@
 # Libraries come from Debian's packages; scripts/install-deps lists them.
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+find_package(Boost 1.81 REQUIRED COMPONENTS json unit_test_framework)
 find_package(Protobuf REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_package(yaml-cpp REQUIRED)
--- /dev/null
+++ b/drivers/http/admin_server.cpp
@@ -0,0 +1,192 @@
+#include "drivers/http/admin_server.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "drivers/http/asio_types.h"
+#include "drivers/http/error_reply.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::chrono::seconds request_timeout{30};
+constexpr std::chrono::milliseconds accept_pause{20};
+constexpr std::size_t max_connections = 1024;
+
+using request_message = http::request<http::string_body>;
+
+admin_request make_admin_request(const request_message& message, const endpoint& peer) {
+    const std::string_view target(message.target().data(), message.target().size());
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    admin_request request;
+    request.method = message.method_string();
+    request.path = target.substr(0, mark);
+    if (mark < target.size()) {
+        request.query = parse_query(target.substr(mark + 1));
+    }
+    request.body = message.body();
+    request.peer = peer;
+    return request;
+}
+
+http::response<http::string_body> make_message(admin_response response, unsigned version, bool keep_alive) {
+    http::response<http::string_body> message;
+    message.result(response.status);
+    message.version(version);
+    message.set(http::field::content_type, response.content_type);
+    message.keep_alive(keep_alive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+admin_response refusal(unsigned status, std::string_view detail) {
+    return {status, "application/json", "{\"error\":" + json_quote(detail) + "}\n"};
+}
+
+}  // namespace
+
+struct admin_server::state : std::enable_shared_from_this<admin_server::state> {
+    state(net::any_io_executor executor_in, endpoint listen_in, handler handle_in)
+        : executor(std::move(executor_in)), listen(std::move(listen_in)), handle(std::move(handle_in)) {}
+
+    awaitable<void> accept_loop();
+    awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
+    awaitable<admin_response> answer(admin_request request);
+
+    net::any_io_executor executor;
+    endpoint listen;
+    handler handle;
+    std::optional<tcp::acceptor> acceptor;
+    std::set<std::shared_ptr<beast::tcp_stream>> streams;
+};
+
+awaitable<void> admin_server::state::accept_loop() {
+    const auto self = shared_from_this();
+    net::steady_timer timer(executor);
+    while (acceptor.has_value()) {
+        auto [error, socket] = co_await acceptor->async_accept(tuple_awaitable);
+        if (!acceptor.has_value()) {
+            co_return;
+        }
+        if (error || streams.size() >= max_connections) {
+            timer.expires_after(accept_pause);
+            co_await timer.async_wait(tuple_awaitable);
+            continue;
+        }
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        streams.insert(stream);
+        net::co_spawn(executor, serve(stream),
+                      [self, stream](const std::exception_ptr&) { self->streams.erase(stream); });
+    }
+}
+
+awaitable<admin_response> admin_server::state::answer(admin_request request) {
+    try {
+        co_return co_await handle(std::move(request));
+    } catch (const std::exception& error) {
+        co_return refusal(500, error.what());
+    }
+}
+
+awaitable<void> admin_server::state::serve(std::shared_ptr<beast::tcp_stream> stream) {
+    const auto self = shared_from_this();
+    error_code ignored;
+    const tcp::endpoint remote = stream->socket().remote_endpoint(ignored);
+    const endpoint peer{remote.address().to_string(), remote.port()};
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        stream->expires_after(request_timeout);
+        auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, tuple_awaitable);
+        admin_response response;
+        unsigned version = 11;
+        if (read_error == http::error::end_of_stream || (read_error && !parser.got_some())) {
+            break;
+        }
+        if (read_error) {
+            const bool too_large = read_error == http::error::body_limit;
+            response = refusal(too_large ? 413 : 400, read_error.message());
+            open = false;
+        } else {
+            version = parser.get().version();
+            open = parser.get().keep_alive();
+            stream->expires_never();
+            response = co_await answer(make_admin_request(parser.get(), peer));
+        }
+        const auto message = make_message(std::move(response), version, open);
+        stream->expires_after(request_timeout);
+        auto [write_error, written] = co_await http::async_write(*stream, message, tuple_awaitable);
+        open = open && !write_error;
+    }
+    stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+admin_server::admin_server(net::any_io_executor executor, endpoint listen, handler handle)
+    : state_(std::make_shared<state>(std::move(executor), std::move(listen), std::move(handle))) {}
+
+admin_server::~admin_server() {
+    stop();
+}
+
+absl::StatusOr<endpoint> admin_server::start() {
+    absl::StatusOr<tcp::acceptor> acceptor = open_acceptor(state_->executor, state_->listen, false);
+    if (!acceptor.ok()) {
+        return acceptor.status();
+    }
+    const endpoint bound{state_->listen.address, acceptor->local_endpoint().port()};
+    state_->acceptor.emplace(*std::move(acceptor));
+    net::co_spawn(state_->executor, state_->accept_loop(), net::detached);
+    return bound;
+}
+
+void admin_server::stop() {
+    state_->acceptor.reset();
+    const auto streams = state_->streams;
+    for (const auto& stream : streams) {
+        stream->close();
+    }
+}
+
+std::string decode_query_part(std::string_view text) {
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        if (text[i] == '%' && i + 2 < text.size() &&
+            std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ptr == text.data() + i + 3) {
+            decoded.push_back(static_cast<char>(value));
+            i += 2;
+        } else {
+            decoded.push_back(text[i] == '+' ? ' ' : text[i]);
+        }
+    }
+    return decoded;
+}
+
+std::map<std::string, std::string> parse_query(std::string_view text) {
+    std::map<std::string, std::string> query;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find('&'), text.size());
+        const std::string_view pair = text.substr(0, end);
+        const std::size_t equals = std::min(pair.find('='), pair.size());
+        if (!pair.empty()) {
+            query[decode_query_part(pair.substr(0, equals))] =
+                equals < pair.size() ? decode_query_part(pair.substr(equals + 1)) : std::string();
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return query;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/asio_types.cpp
@@ -0,0 +1,58 @@
+#include "drivers/http/asio_types.h"
+
+#include <sys/socket.h>
+
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+
+namespace teaselpitch {
+
+absl::StatusOr<tcp::endpoint> to_tcp_endpoint(const endpoint& value) {
+    error_code error;
+    const net::ip::address address = net::ip::make_address(value.address, error);
+    if (error) {
+        return absl::InvalidArgumentError("address \"" + value.address + "\" is not an IP number");
+    }
+    return tcp::endpoint(address, value.port);
+}
+
+absl::StatusOr<tcp::acceptor> open_acceptor(const net::any_io_executor& executor, const endpoint& listen,
+                                            bool reuse_port) {
+    const absl::StatusOr<tcp::endpoint> local = to_tcp_endpoint(listen);
+    if (!local.ok()) {
+        return local.status();
+    }
+    tcp::acceptor acceptor(executor);
+    error_code error;
+    acceptor.open(local->protocol(), error);
+    if (!error) {
+        acceptor.set_option(net::socket_base::reuse_address(true), error);
+    }
+    const int enabled = 1;
+    if (!error && reuse_port &&
+        ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled) != 0) {
+        error = error_code(errno, boost::system::system_category());
+    }
+    if (!error) {
+        acceptor.bind(*local, error);
+    }
+    if (!error) {
+        acceptor.listen(net::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return absl::UnavailableError("cannot listen on " + to_string(listen) + ": " + error.message());
+    }
+    return acceptor;
+}
+
+void reset_socket(tcp::socket& socket) {
+    error_code ignored;
+    if (socket.is_open()) {
+        socket.set_option(net::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/caller_server.cpp
@@ -0,0 +1,138 @@
+#include "drivers/http/caller_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <utility>
+
+#include "drivers/http/asio_types.h"
+#include "drivers/http/caller_connection.h"
+
+namespace teaselpitch {
+
+struct caller_server::state : std::enable_shared_from_this<caller_server::state> {
+    state(net::any_io_executor executor_in, caller_server_options options, exchange_handler& handler,
+          const time_source& clock, std::function<std::string()> new_request_id)
+        : executor(std::move(executor_in)),
+          context(std::make_shared<caller_context>(std::move(options), handler, clock,
+                                                   std::move(new_request_id))),
+          all_closed(executor, net::steady_timer::time_point::max()) {}
+
+    awaitable<void> accept_loop();
+    void take(tcp::socket socket);
+    void stop_accepting();
+
+    net::any_io_executor executor;
+    std::shared_ptr<caller_context> context;
+    std::optional<tcp::acceptor> acceptor;
+    net::steady_timer all_closed;  // Cancelled when the last connection closes.
+};
+
+awaitable<void> caller_server::state::accept_loop() {
+    constexpr std::chrono::milliseconds pause{20};
+    const auto self = shared_from_this();
+    while (acceptor.has_value()) {
+        net::steady_timer timer(executor);
+        if (context->connections.size() >= context->options.max_connections) {
+            timer.expires_after(pause);
+            co_await timer.async_wait(tuple_awaitable);
+            continue;
+        }
+        auto [error, socket] = co_await acceptor->async_accept(tuple_awaitable);
+        if (!acceptor.has_value()) {
+            co_return;
+        }
+        if (error) {
+            // Out of file descriptors is the usual cause; accepting again at once would spin.
+            timer.expires_after(pause);
+            co_await timer.async_wait(tuple_awaitable);
+            continue;
+        }
+        take(std::move(socket));
+    }
+}
+
+void caller_server::state::take(tcp::socket socket) {
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const auto connection = std::make_shared<caller_connection>(std::move(socket), context);
+    context->connections.insert(connection);
+    net::co_spawn(executor, connection->run(),
+                  [self = shared_from_this(), connection](const std::exception_ptr&) {
+                      connection->close();
+                      self->context->connections.erase(connection);
+                      if (self->context->connections.empty()) {
+                          self->all_closed.cancel();
+                      }
+                  });
+}
+
+void caller_server::state::stop_accepting() {
+    if (!acceptor.has_value()) {
+        return;
+    }
+    error_code error;
+    acceptor->cancel(error);
+    acceptor->non_blocking(true, error);
+    // Closing the listener would reset the connections that still wait in its queue.
+    while (!error) {
+        tcp::socket socket(executor);
+        acceptor->accept(socket, error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+    acceptor.reset();
+}
+
+caller_server::caller_server(net::any_io_executor executor, caller_server_options options,
+                             exchange_handler& handler, const time_source& clock,
+                             std::function<std::string()> new_request_id)
+    : state_(std::make_shared<state>(std::move(executor), std::move(options), handler, clock,
+                                     std::move(new_request_id))) {}
+
+caller_server::~caller_server() {
+    state_->acceptor.reset();
+    const auto open = state_->context->connections;
+    for (const auto& connection : open) {
+        connection->reset();
+    }
+}
+
+absl::StatusOr<endpoint> caller_server::start() {
+    const caller_server_options& options = state_->context->options;
+    absl::StatusOr<tcp::acceptor> acceptor =
+        open_acceptor(state_->executor, options.listen, options.reuse_port);
+    if (!acceptor.ok()) {
+        return acceptor.status();
+    }
+    const endpoint bound{options.listen.address, acceptor->local_endpoint().port()};
+    state_->acceptor.emplace(*std::move(acceptor));
+    net::co_spawn(state_->executor, state_->accept_loop(), net::detached);
+    return bound;
+}
+
+void caller_server::stop_accepting() {
+    state_->stop_accepting();
+}
+
+std::size_t caller_server::open_exchanges() const {
+    return state_->context->open_exchanges.load();
+}
+
+awaitable<void> caller_server::drain() {
+    const auto state = state_;
+    state->stop_accepting();
+    state->context->draining = true;
+    const auto open = state->context->connections;
+    for (const auto& connection : open) {
+        connection->begin_drain();
+    }
+    while (!state->context->connections.empty()) {
+        co_await state->all_closed.async_wait(tuple_awaitable);
+    }
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/error_reply.cpp
@@ -0,0 +1,70 @@
+#include "drivers/http/error_reply.h"
+
+#include <boost/beast/http/status.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+#include <boost/json/value.hpp>
+#include <chrono>
+
+namespace teaselpitch {
+namespace {
+
+std::string reason_of(unsigned status) {
+    constexpr unsigned client_closed_request = 499;  // Not a registered status code.
+    if (status == client_closed_request) {
+        return "Client Closed Request";
+    }
+    const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    return {reason.data(), reason.size()};
+}
+
+void add_field(std::string& text, std::string_view name, std::string_view value) {
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+/// Retry-After counts whole seconds; a part of a second is rounded up.
+std::string whole_seconds(std::chrono::milliseconds delay) {
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(delay).count());
+}
+
+}  // namespace
+
+std::string json_quote(std::string_view text) {
+    std::string ascii;
+    ascii.reserve(text.size());
+    for (const char c : text) {
+        ascii.push_back(static_cast<unsigned char>(c) < 0x80 ? c : '?');
+    }
+    return boost::json::serialize(boost::json::string(ascii));
+}
+
+std::string format_error_reply(const exchange_result& result, const error_reply_context& context) {
+    const error_answer& answer = answer_of(result.error);
+    std::string body = "{\"kind\":" + json_quote(answer.name) + ",\"meaning\":" + json_quote(answer.meaning) +
+                       ",\"detail\":" + json_quote(result.detail) + "}\n";
+    std::string text =
+        "HTTP/1.1 " + std::to_string(answer.http_status) + " " + reason_of(answer.http_status) + "\r\n";
+    add_field(text, "Content-Type", "application/json");
+    add_field(text, "Content-Length", std::to_string(body.size()));
+    add_field(text, "Teaselpitch-Error", answer.name);
+    add_field(text, "Teaselpitch-Execution", to_string(result.execution));
+    if (!context.request_id.empty()) {
+        add_field(text, "Teaselpitch-Request-Id", context.request_id);
+    }
+    if (!context.node.empty()) {
+        add_field(text, "Teaselpitch-Node", context.node);
+    }
+    if (result.retry_after.has_value()) {
+        add_field(text, "Retry-After", whole_seconds(*result.retry_after));
+    }
+    if (context.close || context.keep_alive) {
+        add_field(text, "Connection", context.close ? "close" : "keep-alive");
+    }
+    text.append("\r\n");
+    if (!context.head_only) {
+        text.append(body);
+    }
+    return text;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/header_rules.cpp
@@ -0,0 +1,274 @@
+#include "drivers/http/header_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstdint>
+
+#include "absl/status/status.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+
+namespace teaselpitch {
+namespace {
+
+namespace http = boost::beast::http;
+using request_header = http::header<true, http::fields>;
+
+constexpr std::array<std::string_view, 9> hop_by_hop_names{
+    "connection",        "keep-alive", "proxy-connection", "te", "trailer", "upgrade",
+    "transfer-encoding", "expect",     "http2-settings"};
+
+constexpr std::array<std::string_view, 5> fleet_answer_names{"teaselpitch-execution", "teaselpitch-error",
+                                                             "teaselpitch-request-id", "teaselpitch-target",
+                                                             "teaselpitch-node"};
+
+std::string_view view_of(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+bool equals(std::string_view left, std::string_view right) {
+    return absl::EqualsIgnoreCase(absl::string_view(left.data(), left.size()),
+                                  absl::string_view(right.data(), right.size()));
+}
+
+template <typename Names>
+bool contains(const Names& names, std::string_view name) {
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view candidate) { return equals(candidate, name); });
+}
+
+bool is_hex(char c) {
+    return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+}
+
+/// Parses a decimal number of digits only; signs, spaces and overflow are faults.
+std::optional<std::uint64_t> parse_digits(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool valid_path(std::string_view path) {
+    if (path.empty() || path.front() != '/') {
+        return false;
+    }
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(path[i]);
+        if (byte <= 0x20 || byte >= 0x7f ||
+            std::string_view("#\"<>\\^`{|}").find(path[i]) != std::string_view::npos) {
+            return false;
+        }
+        if (path[i] == '%' && (i + 2 >= path.size() || !is_hex(path[i + 1]) || !is_hex(path[i + 2]))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool valid_host(std::string_view host) {
+    return std::all_of(host.begin(), host.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+               std::string_view("-._~:[]!$&'()*+,;=%").find(c) != std::string_view::npos;
+    });
+}
+
+std::string without_port(std::string_view host) {
+    const std::size_t bracket = host.rfind(']');
+    const std::size_t colon = host.rfind(':');
+    if (colon == std::string_view::npos || (bracket != std::string_view::npos && colon < bracket)) {
+        return std::string(host);
+    }
+    return std::string(host.substr(0, colon));
+}
+
+/// Splits the request target into path and, for the absolute form, the authority.
+absl::Status read_target(const request_header& header, std::string& path, std::string& authority) {
+    std::string_view target = view_of(header.target());
+    if (target == "*" && header.method() == http::verb::options) {
+        path = target;
+        return absl::OkStatus();
+    }
+    constexpr std::string_view scheme = "http://";
+    if (target.size() > scheme.size() && equals(target.substr(0, scheme.size()), scheme)) {
+        target.remove_prefix(scheme.size());
+        const std::size_t end = std::min(target.find_first_of("/?"), target.size());
+        authority = target.substr(0, end);
+        path = target.substr(end);
+        if (path.empty() || path.front() == '?') {
+            path.insert(0, "/");
+        }
+        if (authority.empty()) {
+            return absl::InvalidArgumentError("the request target has no host");
+        }
+    } else {
+        path = target;
+    }
+    if (header.method() == http::verb::connect || !valid_path(path)) {
+        return absl::InvalidArgumentError("the request target is not a valid path");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status read_host(const request_header& header, std::string_view authority, request_head& head) {
+    const auto count = header.count(http::field::host);
+    if (count > 1) {
+        return absl::InvalidArgumentError("more than one Host field");
+    }
+    if (count == 0 && header.version() >= 11) {
+        return absl::InvalidArgumentError("the Host field is missing");
+    }
+    const std::string_view named = view_of(header[http::field::host]);
+    const std::string_view host = authority.empty() ? named : authority;
+    if (!valid_host(named) || !valid_host(host)) {
+        return absl::InvalidArgumentError("the host is not valid");
+    }
+    head.host = without_port(host);
+    for (header_field& field : head.headers) {
+        if (equals(field.name, "host")) {
+            field.value = host;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status read_framing(const request_header& header, request_head& head) {
+    const auto lengths = header.count(http::field::content_length);
+    const auto codings = header.count(http::field::transfer_encoding);
+    if (lengths > 1) {
+        return absl::InvalidArgumentError("more than one Content-Length field");
+    }
+    if (lengths == 1 && codings > 0) {
+        return absl::InvalidArgumentError("both Content-Length and Transfer-Encoding");
+    }
+    if (lengths == 1) {
+        head.content_length = parse_digits(view_of(header[http::field::content_length]));
+        if (!head.content_length.has_value()) {
+            return absl::InvalidArgumentError("Content-Length is not a number");
+        }
+        head.has_body = *head.content_length > 0;
+    }
+    if (codings > 0) {
+        const std::string_view coding = view_of(header[http::field::transfer_encoding]);
+        if (codings > 1 || !equals(coding, "chunked") || header.version() < 11) {
+            return absl::InvalidArgumentError("unsupported Transfer-Encoding");
+        }
+        head.has_body = true;
+    }
+    const std::string_view expect = view_of(header[http::field::expect]);
+    if (!expect.empty() && !equals(expect, "100-continue")) {
+        return absl::InvalidArgumentError("unsupported Expect");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status read_fleet_fields(const request_header& header, steady_time now,
+                               std::chrono::milliseconds max_timeout, request_head& head) {
+    for (const std::string_view name :
+         {"Teaselpitch-Account", "Idempotency-Key", "Teaselpitch-Attempt", "Teaselpitch-Timeout-Ms"}) {
+        if (header.count(boost::beast::string_view(name.data(), name.size())) > 1) {
+            return absl::InvalidArgumentError("more than one " + std::string(name) + " field");
+        }
+    }
+    head.account = view_of(header["Teaselpitch-Account"]);
+    head.idempotency_key = view_of(header["Idempotency-Key"]);
+    head.first_send = view_of(header["Teaselpitch-Attempt"]) == "1";
+    std::chrono::milliseconds timeout = max_timeout;
+    if (header.count("Teaselpitch-Timeout-Ms") == 1) {
+        const std::optional<std::uint64_t> given = parse_digits(view_of(header["Teaselpitch-Timeout-Ms"]));
+        if (!given.has_value()) {
+            return absl::InvalidArgumentError("Teaselpitch-Timeout-Ms is not a number of milliseconds");
+        }
+        const auto longest = static_cast<std::uint64_t>(max_timeout.count());
+        timeout = std::chrono::milliseconds(std::min(*given, longest));
+    }
+    head.deadline = now + timeout;
+    std::erase_if(head.headers, [](const header_field& field) {
+        return equals(field.name, "Teaselpitch-Timeout-Ms") || equals(field.name, "Teaselpitch-Request-Id");
+    });
+    return absl::OkStatus();
+}
+
+}  // namespace
+
+std::optional<std::string> find_header_fault(std::string_view block) {
+    std::size_t line_start = 0;
+    for (std::size_t i = 0; i < block.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(block[i]);
+        if (byte == '\r') {
+            if (i + 1 < block.size() && block[i + 1] != '\n') {
+                return "a line ends without CR LF";
+            }
+        } else if (byte == '\n') {
+            if (i == 0 || block[i - 1] != '\r') {
+                return "a line ends without CR LF";
+            }
+            line_start = i + 1;
+        } else if ((byte < 0x20 && byte != '\t') || byte == 0x7f) {
+            return "the header has a control byte";
+        } else if (i == line_start && (byte == ' ' || byte == '\t')) {
+            return "a line starts with white space";
+        }
+        if (i - line_start >= max_header_line && i >= line_start) {
+            return "a header line is too long";
+        }
+    }
+    return std::nullopt;
+}
+
+bool is_hop_by_hop(std::string_view name) {
+    return contains(hop_by_hop_names, name);
+}
+
+bool is_fleet_answer_field(std::string_view name) {
+    return contains(fleet_answer_names, name);
+}
+
+std::vector<header_field> end_to_end_fields(const http::fields& fields) {
+    std::vector<std::string> named;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto field = range.first; field != range.second; ++field) {
+        const std::string_view value = view_of(field->value());
+        for (const absl::string_view token :
+             absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+            named.emplace_back(absl::StripAsciiWhitespace(token));
+        }
+    }
+    std::vector<header_field> kept;
+    for (const auto& field : fields) {
+        const std::string_view name = view_of(field.name_string());
+        if (!is_hop_by_hop(name) && !contains(named, name) && !equals(name, "content-length")) {
+            kept.push_back({std::string(name), std::string(view_of(field.value()))});
+        }
+    }
+    return kept;
+}
+
+absl::StatusOr<request_head> make_request_head(const request_header& header, steady_time now,
+                                               std::chrono::milliseconds max_timeout) {
+    request_head head;
+    head.method = view_of(header.method_string());
+    head.headers = end_to_end_fields(header);
+    std::string authority;
+    absl::Status status = read_target(header, head.path, authority);
+    if (status.ok()) {
+        status = read_host(header, authority, head);
+    }
+    if (status.ok()) {
+        status = read_framing(header, head);
+    }
+    if (status.ok()) {
+        status = read_fleet_fields(header, now, max_timeout, head);
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    return head;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/http_call.cpp
@@ -0,0 +1,97 @@
+#include "drivers/http/http_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <utility>
+
+#include "drivers/http/asio_types.h"
+
+namespace teaselpitch {
+namespace {
+
+absl::Status status_of(error_code error, const endpoint& target, const char* step) {
+    const std::string text = std::string(step) + " " + to_string(target) + ": " + error.message();
+    if (error == beast::error::timeout) {
+        return absl::DeadlineExceededError(text);
+    }
+    if (error == http::error::partial_message) {
+        return absl::DataLossError(text);
+    }
+    if (error == http::error::body_limit) {
+        return absl::ResourceExhaustedError(text);
+    }
+    return absl::UnavailableError(text);
+}
+
+http::request<http::string_body> make_message(http_request request, const endpoint& target) {
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.path);
+    message.version(11);
+    for (const header_field& field : request.headers) {
+        message.insert(field.name, field.value);
+    }
+    if (message.count(http::field::host) == 0) {
+        message.set(http::field::host, to_string(target));
+    }
+    message.keep_alive(false);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+http_reply make_reply(http::response<http::string_body> message) {
+    http_reply reply;
+    reply.status = message.result_int();
+    for (const auto& field : message) {
+        reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    reply.body = std::move(message.body());
+    return reply;
+}
+
+}  // namespace
+
+awaitable<absl::StatusOr<http_reply>> http_call(net::any_io_executor executor, endpoint target,
+                                                http_request request, std::chrono::milliseconds timeout) {
+    const absl::StatusOr<tcp::endpoint> address = to_tcp_endpoint(target);
+    if (!address.ok()) {
+        co_return address.status();
+    }
+    beast::tcp_stream stream(executor);
+    stream.expires_after(timeout);
+    auto [connect_error] = co_await stream.async_connect(*address, tuple_awaitable);
+    if (connect_error) {
+        co_return status_of(connect_error, target, "cannot connect to");
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(request.max_reply_bytes);
+    parser.skip(request.method == "HEAD");
+    const http::request<http::string_body> message = make_message(std::move(request), target);
+    auto [write_error, written] = co_await http::async_write(stream, message, tuple_awaitable);
+    if (write_error) {
+        co_return status_of(write_error, target, "cannot send to");
+    }
+    beast::flat_buffer buffer;
+    auto [read_error, read] = co_await http::async_read(stream, buffer, parser, tuple_awaitable);
+    if (read_error) {
+        co_return status_of(read_error, target, "no reply from");
+    }
+    co_return make_reply(parser.release());
+}
+
+absl::StatusOr<http_reply> http_call_blocking(const endpoint& target, http_request request,
+                                              std::chrono::milliseconds timeout) {
+    net::io_context context(1);
+    absl::StatusOr<http_reply> reply = absl::UnknownError("the call did not run");
+    net::co_spawn(context, http_call(context.get_executor(), target, std::move(request), timeout),
+                  [&reply](const std::exception_ptr& failure, absl::StatusOr<http_reply> value) {
+                      reply = failure ? absl::StatusOr<http_reply>(absl::InternalError("the call failed"))
+                                      : std::move(value);
+                  });
+    context.run();
+    return reply;
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/target_exchange.cpp
@@ -0,0 +1,376 @@
+#include "drivers/http/target_exchange.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/multiple_exceptions.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "drivers/http/header_rules.h"
+#include "drivers/http/target_request.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::size_t max_buffered = 128 * 1024;
+constexpr std::size_t piece_size = 32 * 1024;
+/// Interim answers (1xx) in front of the answer.
+constexpr int max_interim = 16;
+
+bool closed_by_target(error_code error) {
+    return error == net::error::eof || error == net::error::connection_reset ||
+           error == net::error::broken_pipe || error == http::error::end_of_stream ||
+           error == http::error::partial_message;
+}
+
+}  // namespace
+
+target_connection::target_connection(const net::any_io_executor& executor)
+    : socket(executor), buffer(max_buffered) {}
+
+bool target_connection::quiet() {
+    pollfd entry{socket.native_handle(), POLLIN | POLLRDHUP, 0};
+    return buffer.size() == 0 && ::poll(&entry, 1, 0) == 0;
+}
+
+target_exchange::target_exchange(target_connections& connections, const time_source& clock,
+                                 const target_client_options& options,
+                                 std::function<bool()> before_first_byte)
+    : connections_(connections),
+      clock_(clock),
+      options_(options),
+      before_first_byte_(std::move(before_first_byte)),
+      deadline_(connections.executor(), [this] {
+          error_code ignored;
+          if (connection_ != nullptr) {
+              connection_->socket.close(ignored);
+          }
+      }) {}
+
+awaitable<exchange_result> target_exchange::run(const request_head& head, body_reader& body,
+                                                response_writer& writer) {
+    exchange_result result;
+    try {
+        result = co_await attempt(head, body, writer);
+    } catch (const std::exception& error) {
+        result = after_exception(error);
+    }
+    if (head_written_ && result.error != error_kind::none) {
+        result.head_written = true;
+        writer.abort();
+    }
+    deadline_.disarm();
+    connection_.reset();
+    co_return result;
+}
+
+awaitable<exchange_result> target_exchange::attempt(const request_head& head, body_reader& body,
+                                                    response_writer& writer) {
+    if (clock_.now() >= head.deadline) {
+        co_return failed_exchange(error_kind::deadline_expired, "the deadline passed before the connection");
+    }
+    connection_ = connections_.take_idle();
+    if (connection_ == nullptr) {
+        const exchange_result connected = co_await connect(head);
+        if (connected.error != error_kind::none) {
+            co_return connected;
+        }
+    }
+    const exchange_result sent = co_await send_head(head);
+    if (sent.error != error_kind::none) {
+        co_return sent;
+    }
+    co_return co_await send_and_receive(head, body, writer);
+}
+
+awaitable<exchange_result> target_exchange::connect(const request_head& head) {
+    const absl::StatusOr<tcp::endpoint> target = to_tcp_endpoint(connections_.target());
+    if (!target.ok()) {
+        co_return failed_exchange(error_kind::peer_unreachable, target.status().ToString());
+    }
+    connection_ = std::make_unique<target_connection>(connections_.executor());
+    const auto remaining = head.deadline - clock_.now();
+    const bool deadline_first = remaining <= options_.connect_timeout;
+    deadline_.arm(std::min<std::chrono::nanoseconds>(remaining, options_.connect_timeout));
+    auto [error] = co_await connection_->socket.async_connect(*target, tuple_awaitable);
+    deadline_.disarm();
+    if (deadline_.expired()) {
+        co_return failed_exchange(
+            deadline_first ? error_kind::deadline_expired : error_kind::peer_unreachable,
+            "the target did not accept the connection in time");
+    }
+    if (error == net::error::operation_aborted) {
+        co_return cancelled();
+    }
+    if (error) {
+        co_return failed_exchange(
+            error_kind::peer_unreachable,
+            "cannot connect to " + to_string(connections_.target()) + ": " + error.message());
+    }
+    connection_->socket.set_option(tcp::no_delay(true), error);
+    co_return exchange_result{};
+}
+
+awaitable<exchange_result> target_exchange::send_head(const request_head& head) {
+    const auto remaining = head.deadline - clock_.now();
+    if (remaining <= std::chrono::nanoseconds::zero()) {
+        connections_.keep(std::move(connection_));
+        co_return failed_exchange(error_kind::deadline_expired,
+                                  "the deadline passed before the request was sent");
+    }
+    const std::string text = format_target_request(head, connections_.target(), remaining);
+    deadline_.arm(remaining);
+    if (before_first_byte_ && !before_first_byte_()) {
+        deadline_.disarm();
+        connections_.keep(std::move(connection_));
+        co_return failed_exchange(error_kind::slot_moving,
+                                  "the check before the first byte refused the request");
+    }
+    bytes_sent_ = true;  // From here on a cancelled write may have sent a part.
+    auto [error, size] = co_await net::async_write(connection_->socket, net::buffer(text), tuple_awaitable);
+    bytes_sent_ = size > 0;
+    if (error && !bytes_sent_) {
+        if (error == net::error::operation_aborted && !deadline_.expired()) {
+            co_return cancelled();
+        }
+        if (deadline_.expired()) {
+            co_return failed_exchange(error_kind::deadline_expired, "no byte was sent before the deadline");
+        }
+        co_return failed_exchange(error_kind::peer_unreachable, "no byte was sent: " + error.message());
+    }
+    if (error && error != net::error::connection_reset && error != net::error::broken_pipe) {
+        fail_without_head(error);
+        co_return result_;
+    }
+    co_return exchange_result{};  // After a reset the target's answer may still be readable.
+}
+
+awaitable<exchange_result> target_exchange::send_and_receive(const request_head& head, body_reader& body,
+                                                             response_writer& writer) {
+    using namespace net::experimental::awaitable_operators;
+    request_sent_ = !head.has_body;
+    if (head.has_body) {
+        co_await (send_body(head, body) || receive(head, writer));
+        if (body_failure_.has_value()) {
+            result_ = *body_failure_;
+        }
+    } else {
+        co_await receive(head, writer);
+    }
+    if (result_.error == error_kind::none) {
+        release();
+    }
+    co_return result_;
+}
+
+awaitable<void> target_exchange::send_body(const request_head& head, body_reader& body) {
+    std::vector<std::byte> piece(piece_size);
+    std::uint64_t total = 0;
+    bool connected = true;
+    while (connected) {
+        const absl::StatusOr<std::size_t> size = co_await body.read_some(piece);
+        if (!size.ok()) {
+            fail_body(size.status());
+            co_return;
+        }
+        total += *size;
+        if (head.content_length.has_value() &&
+            (total > *head.content_length || (*size == 0 && total < *head.content_length))) {
+            fail_body(absl::InvalidArgumentError("the body does not match its Content-Length"));
+            co_return;
+        }
+        connected = co_await send_piece(std::span(piece).first(*size), !head.content_length.has_value());
+        if (*size == 0) {
+            request_sent_ = connected;
+            break;
+        }
+    }
+    // Returning would end the exchange; its end is the answer, which may come even after a failed write.
+    net::steady_timer forever(connections_.executor(), net::steady_timer::time_point::max());
+    co_await forever.async_wait(tuple_awaitable);
+}
+
+awaitable<bool> target_exchange::send_piece(std::span<const std::byte> data, bool chunked) {
+    const net::const_buffer piece(data.data(), data.size());
+    tcp::socket& socket = connection_->socket;
+    if (data.empty() && !chunked) {
+        co_return true;
+    }
+    error_code failure;
+    if (data.empty()) {
+        auto [error, size] = co_await net::async_write(socket, http::make_chunk_last(), tuple_awaitable);
+        failure = error;
+    } else if (chunked) {
+        auto [error, size] = co_await net::async_write(socket, http::make_chunk(piece), tuple_awaitable);
+        failure = error;
+    } else {
+        auto [error, size] = co_await net::async_write(socket, piece, tuple_awaitable);
+        failure = error;
+    }
+    co_return !failure;
+}
+
+awaitable<void> target_exchange::receive(const request_head& head, response_writer& writer) {
+    if (!co_await receive_head(head)) {
+        co_return;
+    }
+    head_written_ = true;
+    const absl::Status status = co_await writer.write_head(make_response_head());
+    if (!status.ok()) {
+        fail_after_head(net::error::operation_aborted, writer);
+        co_return;
+    }
+    co_await receive_body(writer);
+}
+
+awaitable<bool> target_exchange::receive_head(const request_head& head) {
+    for (int interim = 0; interim < max_interim; ++interim) {
+        parser_.emplace();
+        parser_->header_limit(options_.max_header_bytes);
+        parser_->body_limit(boost::none);
+        parser_->skip(head.method == "HEAD");
+        auto [error, size] = co_await http::async_read_header(connection_->socket, connection_->buffer,
+                                                              *parser_, tuple_awaitable);
+        if (error) {
+            fail_without_head(error);
+            co_return false;
+        }
+        const unsigned status = parser_->get().result_int();
+        if (status >= 200) {
+            co_return check_head();
+        }
+        if (status == 101) {
+            break;  // No upgrade was asked for.
+        }
+    }
+    fail_without_head(http::error::bad_status);
+    co_return false;
+}
+
+bool target_exchange::check_head() {
+    const auto& fields = parser_->get();
+    const bool coded = fields.count(http::field::transfer_encoding) > 0;
+    if (coded && !parser_->chunked()) {
+        fail_without_head(http::error::bad_transfer_encoding);
+        return false;
+    }
+    return true;
+}
+
+response_head target_exchange::make_response_head() const {
+    const auto& message = parser_->get();
+    response_head head;
+    head.status = message.result_int();
+    head.reason = message.reason();
+    head.headers = end_to_end_fields(message);
+    const auto length = parser_->content_length();
+    if (length.has_value()) {
+        head.content_length = *length;
+    }
+    head.has_body = !parser_->skip() && head.status != 204 && head.status != 304;
+    head.target = options_.target_name;
+    return head;
+}
+
+awaitable<void> target_exchange::receive_body(response_writer& writer) {
+    std::vector<std::byte> piece(parser_->is_done() ? 0 : piece_size);
+    while (!parser_->is_done()) {
+        auto& body = parser_->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        auto [error, size] = co_await http::async_read_some(connection_->socket, connection_->buffer,
+                                                            *parser_, tuple_awaitable);
+        if (error && error != http::error::need_buffer) {
+            fail_after_head(error, writer);
+            co_return;
+        }
+        const std::size_t filled = piece.size() - body.size;
+        if (filled > 0) {
+            const absl::Status status = co_await writer.write_body(std::span(piece).first(filled));
+            if (!status.ok()) {
+                fail_after_head(net::error::operation_aborted, writer);
+                co_return;
+            }
+        }
+    }
+    const absl::Status status = co_await writer.finish();
+    if (!status.ok()) {
+        fail_after_head(net::error::operation_aborted, writer);
+        co_return;
+    }
+    result_.head_written = true;
+}
+
+void target_exchange::fail_without_head(error_code error) {
+    if (deadline_.expired()) {
+        result_ = failed_exchange(error_kind::target_timeout, "no answer before the deadline");
+        return;
+    }
+    if (error == net::error::operation_aborted) {
+        result_ = cancelled();
+        return;
+    }
+    result_ = failed_exchange(error_kind::outcome_unknown, "no valid answer: " + error.message());
+    result_.target_crashed = closed_by_target(error);
+}
+
+void target_exchange::fail_after_head(error_code error, response_writer& writer) {
+    writer.abort();
+    if (deadline_.expired()) {
+        result_ = failed_exchange(error_kind::answer_broken, "the deadline passed during the answer");
+    } else if (error == net::error::operation_aborted) {
+        result_ = failed_exchange(error_kind::cancelled, "the answer could not be passed on");
+    } else {
+        result_ = failed_exchange(error_kind::answer_broken, "the answer broke off: " + error.message());
+        result_.target_crashed = closed_by_target(error);
+    }
+    result_.head_written = true;
+}
+
+void target_exchange::fail_body(const absl::Status& status) {
+    error_kind kind = error_kind::cancelled;
+    if (status.code() == absl::StatusCode::kResourceExhausted) {
+        kind = error_kind::body_too_large;
+    } else if (status.code() == absl::StatusCode::kInvalidArgument) {
+        kind = error_kind::malformed_request;
+    }
+    body_failure_ = failed_exchange(kind, std::string_view(status.message().data(), status.message().size()));
+    body_failure_->execution = execution_state::unknown;
+}
+
+exchange_result target_exchange::after_exception(const std::exception& error) const {
+    // Cancellation arrives as operation_aborted, or as multiple_exceptions from two parallel coroutines.
+    const auto* system = dynamic_cast<const boost::system::system_error*>(&error);
+    const bool aborted = system != nullptr && system->code() == net::error::operation_aborted;
+    if (aborted || dynamic_cast<const net::multiple_exceptions*>(&error) != nullptr) {
+        return cancelled();
+    }
+    exchange_result result = failed_exchange(error_kind::internal, error.what());
+    result.execution = bytes_sent_ ? execution_state::unknown : execution_state::not_run;
+    return result;
+}
+
+exchange_result target_exchange::cancelled() const {
+    exchange_result result = failed_exchange(error_kind::cancelled, "the exchange was cancelled");
+    result.execution = bytes_sent_ ? execution_state::unknown : execution_state::not_run;
+    result.head_written = head_written_;
+    return result;
+}
+
+void target_exchange::release() {
+    deadline_.disarm();
+    const bool clean = request_sent_ && !deadline_.expired() && parser_->keep_alive() &&
+                       connection_->buffer.size() == 0 && connection_->socket.is_open();
+    if (clean) {
+        connections_.keep(std::move(connection_));
+    }
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/drivers/http/target_request.cpp
@@ -0,0 +1,58 @@
+#include "drivers/http/target_request.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "absl/strings/match.h"
+#include "drivers/http/header_rules.h"
+
+namespace teaselpitch {
+namespace {
+
+void add_field(std::string& text, std::string_view name, std::string_view value) {
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+/// Fields that this program writes itself.
+bool is_rewritten(std::string_view name) {
+    for (const std::string_view own :
+         {"Host", "Content-Length", "Teaselpitch-Request-Id", "Teaselpitch-Timeout-Ms"}) {
+        if (absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()),
+                                   absl::string_view(own.data(), own.size()))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string host_of(const request_head& head, const endpoint& target) {
+    if (const auto named = find_header(head.headers, "Host")) {
+        return std::string(*named);
+    }
+    return head.host.empty() ? to_string(target) : head.host;
+}
+
+}  // namespace
+
+std::string format_target_request(const request_head& head, const endpoint& target,
+                                  std::chrono::nanoseconds remaining) {
+    std::string text = head.method + " " + head.path + " HTTP/1.1\r\n";
+    add_field(text, "Host", host_of(head, target));
+    for (const header_field& field : head.headers) {
+        if (!is_hop_by_hop(field.name) && !is_rewritten(field.name)) {
+            add_field(text, field.name, field.value);
+        }
+    }
+    if (head.content_length.has_value()) {
+        add_field(text, "Content-Length", std::to_string(*head.content_length));
+    } else if (head.has_body) {
+        add_field(text, "Transfer-Encoding", "chunked");
+    }
+    add_field(text, "Teaselpitch-Request-Id", head.request_id);
+    // Rounded down, but not to 0: the target would refuse it although time remains.
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    add_field(text, "Teaselpitch-Timeout-Ms", std::to_string(std::max<std::int64_t>(whole, 1)));
+    return text + "\r\n";
+}
+
+}  // namespace teaselpitch
