--- /dev/null
+++ b/servers/health/detection_policy.cpp
@@ -0,0 +1,50 @@
+#include "servers/health/detection_policy.h"
+
+#include <array>
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::array<std::string_view, 3> names{"cautious", "balanced", "fast"};
+
+}  // namespace
+
+std::string_view to_string(detection_policy policy) {
+    return names[static_cast<std::size_t>(policy)];
+}
+
+std::optional<detection_policy> parse_detection_policy(std::string_view text) {
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (names[i] == text) {
+            return static_cast<detection_policy>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+judge_options options_for(detection_policy policy, std::uint32_t slots) {
+    using std::chrono::milliseconds;
+    switch (policy) {
+        case detection_policy::cautious:
+            return {.threshold = 27.0,
+                    .least_evidence = 8,
+                    .confirmation = milliseconds{600},
+                    .slots = slots,
+                    .half_life = milliseconds{5'000}};
+        case detection_policy::balanced:
+            return {.threshold = 23.0,
+                    .least_evidence = 6,
+                    .confirmation = milliseconds{250},
+                    .slots = slots,
+                    .half_life = milliseconds{5'000}};
+        case detection_policy::fast:
+            break;
+    }
+    return {.threshold = 20.0,
+            .least_evidence = 5,
+            .confirmation = milliseconds{100},
+            .slots = slots,
+            .half_life = milliseconds{5'000}};
+}
+
+}  // namespace teaselpitch
