--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -30,7 +30,9 @@
     return {{"service", std::string(service)}, {"error", std::string(answer_of(error).name)}};
 }
 
-double seconds(std::chrono::nanoseconds value) { return std::chrono::duration<double>(value).count(); }
+double seconds(std::chrono::nanoseconds value) {
+    return std::chrono::duration<double>(value).count();
+}
 
 }  // namespace
 
@@ -51,7 +53,8 @@
       live_claims_(gauge(registry_, "teaselpitch_claims", "Idempotency keys that are remembered")),
       claim_bytes_(gauge(registry_, "teaselpitch_claim_bytes", "Memory of the idempotency keys")) {}
 
-void node_metrics::count_request(std::string_view service, error_kind error, std::chrono::nanoseconds latency) {
+void node_metrics::count_request(std::string_view service, error_kind error,
+                                 std::chrono::nanoseconds latency) {
     requests_.Add(service_and_error(service, error)).Increment();
     request_seconds_.Add({{"service", std::string(service)}}, latency_buckets).Observe(seconds(latency));
 }
@@ -68,7 +71,9 @@
     gate_seconds_.Add({{"service", std::string(service)}}, latency_buckets).Observe(seconds(latency));
 }
 
-void node_metrics::count_silent_connection() { silent_connections_.Increment(); }
+void node_metrics::count_silent_connection() {
+    silent_connections_.Increment();
+}
 
 void node_metrics::set_table_version(std::uint64_t version) {
     table_version_.Set(static_cast<double>(version));
@@ -79,7 +84,9 @@
     known_targets_.Set(static_cast<double>(targets));
 }
 
-void node_metrics::set_log_available(bool available) { log_available_.Set(available ? 1 : 0); }
+void node_metrics::set_log_available(bool available) {
+    log_available_.Set(available ? 1 : 0);
+}
 
 void node_metrics::set_claims(std::size_t live, std::size_t bytes) {
     live_claims_.Set(static_cast<double>(live));
--- a/modules/node/service_directory.cpp
+++ b/modules/node/service_directory.cpp
@@ -4,7 +4,8 @@
 
 namespace teaselpitch {
 
-service_directory::service_directory(const time_source& clock, chooser_options options, decision_log& decisions,
+service_directory::service_directory(const time_source& clock, chooser_options options,
+                                     decision_log& decisions,
                                      std::function<void(const std::string&)> shares_changed)
     : clock_(clock),
       options_(std::move(options)),
--- a/modules/node/service_router.cpp
+++ b/modules/node/service_router.cpp
@@ -9,7 +9,9 @@
 namespace teaselpitch {
 namespace {
 
-decision_evidence figure(std::string name, double value) { return {std::move(name), fmt::format("{:.3g}", value)}; }
+decision_evidence figure(std::string name, double value) {
+    return {std::move(name), fmt::format("{:.3g}", value)};
+}
 
 decision_record to_record(const std::string& service, const ejector_decision& decision) {
     decision_record record;
@@ -30,7 +32,8 @@
 }  // namespace
 
 service_router::service_router(const time_source& clock, std::string service, chooser_options options,
-                               std::uint64_t seed, decision_log& decisions, std::function<void()> shares_changed)
+                               std::uint64_t seed, decision_log& decisions,
+                               std::function<void()> shares_changed)
     : service_(std::move(service)),
       decisions_(decisions),
       shares_changed_(std::move(shares_changed)),
@@ -99,14 +102,16 @@
     take(ejector_.on_gate_verdict(report.target, report.badness, true));
 }
 
-void service_router::on_path(std::string_view target, double badness) { take(ejector_.on_path(target, badness)); }
+void service_router::on_path(std::string_view target, double badness) {
+    take(ejector_.on_path(target, badness));
+}
 
 void service_router::on_node_path(std::string_view node, double badness) {
     take(ejector_.on_node_path(node, badness));
 }
 
-void service_router::on_hint(std::string_view target, std::string_view origin_node, std::string_view origin_zone,
-                             double badness) {
+void service_router::on_hint(std::string_view target, std::string_view origin_node,
+                             std::string_view origin_zone, double badness) {
     take(ejector_.on_hint(target, origin_node, origin_zone, badness));
 }
 
--- /dev/null
+++ b/modules/node/target_keeper.cpp
@@ -0,0 +1,352 @@
+#include "modules/node/target_keeper.h"
+
+#include <boost/json.hpp>
+#include <exception>
+#include <limits>
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr unsigned first_server_error = 500;
+constexpr std::uint32_t max_slots = 100'000;
+
+std::string_view state_name(target_lifecycle state) {
+    switch (state) {
+        case target_lifecycle::starting:
+            return "starting";
+        case target_lifecycle::ready:
+            return "ready";
+        case target_lifecycle::leaving:
+            return "leaving";
+    }
+    return "unknown";
+}
+
+std::optional<target_lifecycle> parse_state(std::string_view text) {
+    for (const target_lifecycle state :
+         {target_lifecycle::starting, target_lifecycle::ready, target_lifecycle::leaving}) {
+        if (state_name(state) == text) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+announcement parse_fields(const boost::json::object& object) {
+    announcement result;
+    const auto text = [&object](const char* key) { return std::string(object.at(key).as_string()); };
+    result.identity.name = text("name");
+    result.identity.incarnation = object.at("incarnation").to_number<std::uint64_t>();
+    result.service = text("service");
+    result.address = {text("address"), object.at("port").to_number<std::uint16_t>()};
+    result.slots = object.at("slots").to_number<std::uint32_t>();
+    const std::optional<target_lifecycle> state = parse_state(text("state"));
+    if (!state) {
+        throw std::invalid_argument("state is not one of starting, ready, leaving");
+    }
+    result.state = *state;
+    return result;
+}
+
+std::string fault_of(const announcement& message) {
+    if (message.identity.name.empty() || message.service.empty()) {
+        return "name and service must not be empty";
+    }
+    if (message.slots == 0 || message.slots > max_slots) {
+        return "slots is not in 1..100000";
+    }
+    const auto address = parse_endpoint(to_string(message.address));
+    return address.ok() ? "" : std::string(address.status().message());
+}
+
+work_outcome outcome_of(const exchange_result& result, unsigned http_status) {
+    if (result.target_crashed) {
+        return work_outcome::crash;
+    }
+    switch (result.error) {
+        case error_kind::none:
+            return http_status >= first_server_error ? work_outcome::failure : work_outcome::success;
+        case error_kind::target_timeout:
+            return work_outcome::timeout;
+        case error_kind::cancelled:
+        case error_kind::slot_moving:
+        case error_kind::deadline_expired:
+        case error_kind::body_too_large:
+        case error_kind::malformed_request:
+            return work_outcome::cancelled;
+        default:
+            return work_outcome::failure;
+    }
+}
+
+}  // namespace
+
+absl::StatusOr<announcement> parse_announcement(std::string_view json) {
+    announcement result;
+    try {
+        result = parse_fields(boost::json::parse(json).as_object());
+    } catch (const std::exception& error) {
+        return absl::InvalidArgumentError(std::string("invalid announcement: ") + error.what());
+    }
+    const std::string fault = fault_of(result);
+    if (!fault.empty()) {
+        return absl::InvalidArgumentError("invalid announcement: " + fault);
+    }
+    return result;
+}
+
+kept_target::kept_target(const time_source& clock, const announcement& first,
+                         const admission_options& admission, const judge_options& judging)
+    : guarded_(clock, first.identity, first.service, first.address, admission),
+      judge_(clock, first.identity.name, judging) {}
+
+target_keeper::target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions)
+    : clock_(clock),
+      hooks_(std::move(hooks)),
+      decisions_(decisions),
+      quarantine_(clock, quarantine_options{}),
+      targets_(std::make_shared<const target_map>()) {}
+
+absl::Status target_keeper::on_announcement(const announcement& message) {
+    const auto known = entries_.find(message.identity.name);
+    if (known == entries_.end()) {
+        add_target(message);
+        return absl::OkStatus();
+    }
+    const announcement& latest = known->second.latest;
+    if (message.identity.incarnation < latest.identity.incarnation) {
+        return absl::FailedPreconditionError("a later incarnation of the target has announced itself");
+    }
+    const bool same_life = message.identity.incarnation == latest.identity.incarnation;
+    if (same_life && (message.service != latest.service || message.address != latest.address)) {
+        return absl::InvalidArgumentError("service and address cannot change within one incarnation");
+    }
+    if (same_life && latest.state == target_lifecycle::leaving &&
+        message.state != target_lifecycle::leaving) {
+        return absl::FailedPreconditionError("the target is leaving; a new incarnation must announce itself");
+    }
+    if (!same_life) {
+        known->second.target->guarded().set_leaving();
+        add_target(message);
+        return absl::OkStatus();
+    }
+    update_target(known->second, message);
+    return absl::OkStatus();
+}
+
+void target_keeper::add_target(const announcement& message) {
+    const service_admission rules = hooks_.admission_of(message.service);
+    admission_options admission;
+    admission.slots = message.slots;
+    admission.max_wait = rules.max_wait;
+    auto target =
+        std::make_shared<kept_target>(clock_, message, admission, options_for(rules.policy, message.slots));
+    if (message.state == target_lifecycle::leaving || leaving_) {
+        target->guarded().set_leaving();
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        entries_[message.identity.name] = {target, message, clock_.now(), clock_.now()};
+    }
+    publish_map();
+    log_event(event_level::info, "target_announced",
+              {{"target", message.identity.name},
+               {"incarnation", message.identity.incarnation},
+               {"service", message.service},
+               {"slots", message.slots},
+               {"state", state_name(message.state)}});
+    hooks_.changed(fact_of(entries_.at(message.identity.name), false));
+}
+
+void target_keeper::update_target(membership_entry& entry, const announcement& message) {
+    entry.renewed_at = clock_.now();
+    const bool state_changed = entry.latest.state != message.state;
+    const bool slots_changed = entry.latest.slots != message.slots;
+    if (!state_changed && !slots_changed) {
+        return;
+    }
+    // The gate refuses new work before any other node hears of it.
+    if (message.state == target_lifecycle::leaving) {
+        entry.target->guarded().set_leaving();
+    }
+    if (state_changed && message.state == target_lifecycle::ready) {
+        entry.ready_since = clock_.now();
+    }
+    if (slots_changed) {
+        entry.target->guarded().set_slots(message.slots);
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        entry.latest = message;
+    }
+    log_event(
+        event_level::info, "target_changed",
+        {{"target", message.identity.name}, {"slots", message.slots}, {"state", state_name(message.state)}});
+    hooks_.changed(fact_of(entry, false));
+}
+
+void target_keeper::on_rules() {
+    for (auto& [name, entry] : entries_) {
+        entry.target->guarded().set_max_wait(hooks_.admission_of(entry.latest.service).max_wait);
+    }
+}
+
+void target_keeper::expire() {
+    std::vector<kept_target_fact> gone;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto entry = entries_.begin(); entry != entries_.end();) {
+            if (clock_.now() - entry->second.renewed_at < renewal_limit) {
+                ++entry;
+                continue;
+            }
+            entry->second.target->guarded().set_leaving();
+            gone.push_back(fact_of(entry->second, true));
+            entry = entries_.erase(entry);
+        }
+    }
+    if (gone.empty()) {
+        return;
+    }
+    publish_map();
+    for (const kept_target_fact& fact : gone) {
+        log_event(event_level::warning, "target_gone",
+                  {{"target", fact.identity.name}, {"service", fact.service}, {"reason", "renewals missed"}});
+        hooks_.changed(fact);
+    }
+}
+
+void target_keeper::leave_all() {
+    leaving_ = true;
+    for (auto& [name, entry] : entries_) {
+        entry.target->guarded().set_leaving();
+        entry.latest.state = target_lifecycle::leaving;
+        hooks_.changed(fact_of(entry, false));
+    }
+}
+
+void target_keeper::on_baselines(const std::function<service_baseline(const kept_target&)>& baseline_of) {
+    for (const std::shared_ptr<kept_target>& target : all()) {
+        target->judge().on_baseline(baseline_of(*target));
+    }
+}
+
+void target_keeper::on_queue_tick() {
+    for (const auto& [name, target] : *targets_.read()) {
+        target->guarded().on_tick();
+    }
+}
+
+void target_keeper::on_judge_tick() {
+    for (const auto& [name, target] : *targets_.read()) {
+        target->judge().on_tick();
+        target->guarded().set_badness(target->judge().badness());
+    }
+}
+
+void target_keeper::on_run_started(const gate_run& run) {
+    if (const auto target = find(run.target.identity().name)) {
+        target->judge().on_start(run.ticket);
+    }
+}
+
+void target_keeper::on_run_ended(const gate_run_end& end) {
+    const auto target = find(end.run.target.identity().name);
+    if (target && target->guarded().identity() == end.run.target.identity()) {
+        judge_end(*target, end);
+    }
+    const std::uint64_t fingerprint = end.run.head.fingerprint;
+    if (end.result.error == error_kind::none) {
+        quarantine_.on_success(fingerprint);
+        return;
+    }
+    if (!end.result.target_crashed) {
+        return;
+    }
+    const crash_verdict verdict = quarantine_.on_crash({fingerprint, end.run.target.identity()});
+    log_event(event_level::warning, "target_crash",
+              {{"target", end.run.target.identity().name},
+               {"request_id", end.run.head.request_id},
+               {"fingerprint", fingerprint},
+               {"quarantined", verdict == crash_verdict::quarantine}});
+    if (verdict == crash_verdict::quarantine) {
+        decision_record record;
+        record.subject = decision_subject::service;
+        record.id = end.run.head.service;
+        record.service = end.run.head.service;
+        record.decision = "quarantined";
+        record.rule = "two crashes on different targets within the window";
+        record.evidence = {{"fingerprint", std::to_string(fingerprint)},
+                           {"request_id", end.run.head.request_id},
+                           {"target", end.run.target.identity().name}};
+        decisions_.add(std::move(record));
+    }
+    hooks_.quarantined(end.run, fingerprint);
+}
+
+void target_keeper::judge_end(kept_target& target, const gate_run_end& end) {
+    target.judge().on_end(end.run.ticket, outcome_of(end.result, end.http_status), end.head_latency,
+                          end.run.head.fingerprint);
+    target.guarded().set_badness(target.judge().badness());
+}
+
+std::shared_ptr<kept_target> target_keeper::find(std::string_view name) const {
+    const auto targets = targets_.read();
+    const auto found = targets->find(name);
+    return found == targets->end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<kept_target>> target_keeper::all() const {
+    std::vector<std::shared_ptr<kept_target>> result;
+    for (const auto& [name, target] : *targets_.read()) {
+        result.push_back(target);
+    }
+    return result;
+}
+
+std::shared_ptr<kept_target> target_keeper::least_loaded(std::string_view service) const {
+    std::shared_ptr<kept_target> best;
+    double best_load = std::numeric_limits<double>::max();
+    for (const auto& [name, target] : *targets_.read()) {
+        const admission_load load = target->guarded().load();
+        if (target->guarded().service() != service || load.state != admission_state::open) {
+            continue;
+        }
+        const double badness = target->judge().badness();
+        // A target that asks for ejection is used only when there is no other.
+        const double relative =
+            static_cast<double>(load.running + load.queued) / load.slots + (badness >= 1 ? 1e6 : 0);
+        if (relative < best_load) {
+            best_load = relative;
+            best = target;
+        }
+    }
+    return best;
+}
+
+std::vector<kept_target_fact> target_keeper::facts() const {
+    std::vector<kept_target_fact> result;
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, entry] : entries_) {
+        result.push_back(fact_of(entry, false));
+    }
+    return result;
+}
+
+void target_keeper::publish_map() {
+    auto next = std::make_shared<target_map>();
+    for (const auto& [name, entry] : entries_) {
+        next->emplace(name, entry.target);
+    }
+    targets_.update(std::move(next));
+}
+
+kept_target_fact target_keeper::fact_of(const membership_entry& entry, bool gone) {
+    return {entry.latest.identity, entry.latest.service, entry.latest.state,
+            entry.latest.slots,    entry.ready_since,    gone};
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/target_keeper.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "core/clock.h"
+#include "core/rcu_cell.h"
+#include "modules/proxy/gate.h"
+#include "modules/proxy/guarded_target.h"
+#include "servers/health/crash_quarantine.h"
+#include "servers/health/target_judge.h"
+#include "servers/records/decision_log.h"
+#include "servers/routing/ejector.h"
+#include "servers/routing/name_map.h"
+
+namespace teaselpitch {
+
+/// What a target says about itself; it renews this each second.
+struct announcement {
+    target_identity identity;
+    std::string service;
+    endpoint address;
+    std::uint32_t slots = 0;
+    target_lifecycle state = target_lifecycle::starting;
+};
+
+/// Parses the JSON body of POST /v1/announce; an error names the field.
+absl::StatusOr<announcement> parse_announcement(std::string_view json);
+
+/// One target that this node guards, with its judge.
+class kept_target {
+public:
+    kept_target(const time_source& clock, const announcement& first, const admission_options& admission,
+                const judge_options& judging);
+
+    guarded_target& guarded() { return guarded_; }
+    target_judge& judge() { return judge_; }
+
+    [[nodiscard]] const guarded_target& guarded() const { return guarded_; }
+    [[nodiscard]] const target_judge& judge() const { return judge_; }
+
+private:
+    guarded_target guarded_;
+    target_judge judge_;
+};
+
+/// A change of a guarded target that the other nodes must hear about.
+struct kept_target_fact {
+    target_identity identity;
+    std::string service;
+    target_lifecycle state = target_lifecycle::starting;
+    std::uint32_t slots = 0;
+    steady_time ready_since;
+    bool gone = false;
+};
+
+struct service_admission {
+    std::chrono::milliseconds max_wait{100};
+    detection_policy policy = detection_policy::balanced;
+};
+
+struct target_keeper_hooks {
+    /// Settings of a service from the table.
+    std::function<service_admission(std::string_view service)> admission_of;
+    /// Called on the control thread when a target appears, changes or goes.
+    std::function<void(const kept_target_fact&)> changed;
+    /// Called on any thread when a fingerprint is quarantined here.
+    std::function<void(const gate_run&, std::uint64_t fingerprint)> quarantined;
+};
+
+/// The targets that announced themselves to this node.
+class target_keeper {
+public:
+    /// Three missed renewals of one second end a target's membership.
+    static constexpr std::chrono::milliseconds renewal_limit{3'000};
+
+    target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions);
+
+    // Commands for the control thread.
+    absl::Status on_announcement(const announcement& message);
+    /// Applies the table's settings to all targets.
+    void on_rules();
+    /// Removes targets that stopped renewing.
+    void expire();
+    /// Announces all targets as leaving, because this node stops.
+    void leave_all();
+    void on_baselines(const std::function<service_baseline(const kept_target&)>& baseline_of);
+
+    // Commands for any thread.
+    void on_queue_tick();
+    void on_judge_tick();
+    void on_run_started(const gate_run& run);
+    void on_run_ended(const gate_run_end& end);
+    crash_quarantine& quarantine() { return quarantine_; }
+
+    // Queries for any thread.
+    [[nodiscard]] std::shared_ptr<kept_target> find(std::string_view name) const;
+    [[nodiscard]] std::vector<std::shared_ptr<kept_target>> all() const;
+    /// The ready target of a service with the least load; null when there is none.
+    [[nodiscard]] std::shared_ptr<kept_target> least_loaded(std::string_view service) const;
+    [[nodiscard]] std::vector<kept_target_fact> facts() const;
+
+private:
+    struct membership_entry {
+        std::shared_ptr<kept_target> target;
+        announcement latest;
+        steady_time ready_since;
+        steady_time renewed_at;
+    };
+    using target_map = name_map<std::shared_ptr<kept_target>>;
+
+    void add_target(const announcement& message);
+    void update_target(membership_entry& entry, const announcement& message);
+    void publish_map();
+    [[nodiscard]] static kept_target_fact fact_of(const membership_entry& entry, bool gone);
+    void judge_end(kept_target& target, const gate_run_end& end);
+
+    const time_source& clock_;
+    const target_keeper_hooks hooks_;
+    decision_log& decisions_;
+    crash_quarantine quarantine_;
+    rcu_cell<target_map> targets_;
+    mutable std::mutex mutex_;
+    std::map<std::string, membership_entry, std::less<>> entries_;
+    bool leaving_ = false;
+};
+
+}  // namespace teaselpitch
--- a/servers/health/detection_policy.h
+++ b/servers/health/detection_policy.h
@@ -3,16 +3,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <string_view>
 
-namespace teaselpitch {
-
-/// Column detection_policy of a service row.
-enum class detection_policy : std::uint8_t { cautious, balanced, fast };
+#include "core/detection_policy.h"
 
-std::string_view to_string(detection_policy policy);
-std::optional<detection_policy> parse_detection_policy(std::string_view text);
+namespace teaselpitch {
 
 /// Error rates and least evidence of the sequential tests.
 struct judge_options {
--- a/servers/table/rows.cpp
+++ b/servers/table/rows.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> kind_names{"service", "route", "account"};
-constexpr std::array<std::string_view, 3> policy_names{"cautious", "balanced", "fast"};
 constexpr std::array<std::string_view, 3> rule_names{"auto", "yes", "no"};
 
 }  // namespace
@@ -33,10 +32,6 @@
     return text;
 }
 
-std::string_view to_string(detection_policy value) {
-    return policy_names[static_cast<std::size_t>(value)];
-}
-
 std::string_view to_string(non_idempotent_rule value) {
     return rule_names[static_cast<std::size_t>(value)];
 }
--- a/servers/table/rows.h
+++ b/servers/table/rows.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <variant>
 
+#include "core/detection_policy.h"
+
 namespace teaselpitch {
 
 enum class row_kind : std::uint8_t { service, route, account };
@@ -30,12 +32,9 @@
 /// Text of a key for messages: FIRST/SECOND, or HOST followed by the path prefix.
 std::string key_text(row_kind kind, row_key key);
 
-enum class detection_policy : std::uint8_t { cautious, balanced, fast };
-
 /// Whether requests of a route may run more than once; automatic decides by method.
 enum class non_idempotent_rule : std::uint8_t { automatic, yes, no };
 
-std::string_view to_string(detection_policy value);
 std::string_view to_string(non_idempotent_rule value);
 
 // The member initialisers of the rows are the defaults of blank cells.
