--- a/servers/claims/claim_ledger.cpp
+++ b/servers/claims/claim_ledger.cpp
@@ -228,6 +228,9 @@
     if (!claims) {
         claims = std::make_unique<slot_claims>();
     }
+    if (claims->running > 0) {
+        return absl::FailedPreconditionError("Requests of the slot still run here.");
+    }
     for (const wire::Claim& claim : message.claims()) {
         import_claim(*claims, claim);
     }
@@ -235,11 +238,15 @@
 }
 
 void claim_ledger::import_claim(slot_claims& claims, const wire::Claim& message) {
-    const auto [place, added] = claims.entries.try_emplace(
-        message.key(), entry{.fingerprint = message.fingerprint(), .token = ++last_token_});
-    if (!added) {
-        return;  // The own claim is at least as recent.
+    if (const auto older = claims.entries.find(message.key()); older != claims.entries.end()) {
+        // The former holder's claim is the newer one. The expiry record is found by the address of the key.
+        std::erase_if(claims.ended, [&](const expiry& record) { return record.key == &older->first; });
+        forget(claims, older);
     }
+    const auto place =
+        claims.entries
+            .try_emplace(message.key(), entry{.fingerprint = message.fingerprint(), .token = ++last_token_})
+            .first;
     ++claims.running;
     ++counts_.running;
     counts_.bytes += claim_bytes(place->first);
--- a/servers/claims/claim_ledger.h
+++ b/servers/claims/claim_ledger.h
@@ -25,7 +25,8 @@
 namespace teaselpitch {
 
 struct claim_options {
-    std::chrono::seconds retention{600};       ///< W: time from the end of a run until its key is forgotten.
+    std::chrono::nanoseconds retention =
+        std::chrono::minutes{10};              ///< W: time from the end of a run until its key is forgotten.
     std::size_t max_answer_bytes = 16 * 1024;  ///< Larger answers are not kept.
     std::size_t max_claims = 200'000;          ///< Live claims; new keys above it are refused.
     std::size_t max_total_bytes = 48 * 1024 * 1024;  ///< Keys and answers; new keys above it are refused.
@@ -109,8 +110,9 @@
     /// All claims of a slot; a running one is exported as unknown.
     [[nodiscard]] wire::SlotClaims export_slot(const slot_id& slot) const;
 
-    /// Adds the claims of a slot from its former holder. Retention starts anew, because ages on another
-    /// clock are not comparable. Refuses without any change when the claims do not fit.
+    /// Adds the claims of a slot from its former holder; they replace ended claims of the same keys.
+    /// Retention starts anew, because ages on another clock are not comparable. Refuses without any change
+    /// when the claims do not fit or while a claim of the slot still runs here.
     absl::Status import_slot(const wire::SlotClaims& claims);
 
     /// Forgets a slot that this node no longer holds. Joiners of running claims are not told; the
--- /dev/null
+++ b/servers/claims/takeover_policy.cpp
@@ -0,0 +1,165 @@
+#include "servers/claims/takeover_policy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselpitch {
+namespace {
+
+std::string text_of(const node_identity& node) {
+    return node.name + "#" + std::to_string(node.incarnation);
+}
+
+slot_change make_change(slot_change_kind kind, slot_assignment next) {
+    return {kind, std::move(next), {}};
+}
+
+}  // namespace
+
+takeover_policy::takeover_policy(const time_source& clock, const takeover_options& options,
+                                 node_identity self)
+    : clock_(clock), options_(options), self_(std::move(self)) {}
+
+void takeover_policy::on_places(const std::string& service, std::vector<node_place> places) {
+    const auto [place, added] = services_.try_emplace(service);
+    place->second.places = std::move(places);
+    if (added) {
+        place->second.known_since = clock_.now();
+    }
+}
+
+void takeover_policy::on_alive_nodes(const std::vector<node_identity>& alive) {
+    alive_.clear();
+    for (const node_identity& node : alive) {
+        const std::string text = text_of(node);
+        dead_since_.erase(text);
+        alive_.insert(text);
+    }
+}
+
+void takeover_policy::set_draining() {
+    draining_ = true;
+}
+
+std::vector<slot_change> takeover_policy::on_tick(const slot_map& slots) {
+    const steady_time now = clock_.now();
+    std::vector<slot_change> changes;
+    for (const auto& [name, service] : services_) {
+        for (std::uint32_t i = 0; i < slots_per_service; ++i) {
+            const slot_id slot{name, i};
+            const slot_assignment* current = slots.find(slot);
+            if (current != nullptr) {
+                note_dead(current->holder, now);
+                std::for_each(current->candidates.begin(), current->candidates.end(),
+                              [&](const node_identity& candidate) { note_dead(candidate, now); });
+            }
+            const auto proposed = proposed_at_.find(slot);
+            if (proposed != proposed_at_.end() && now - proposed->second < options_.retry_after) {
+                continue;
+            }
+            if (std::optional<slot_change> change = change_of(slot, current, service); change) {
+                proposed_at_[slot] = now;
+                changes.push_back(std::move(*change));
+            }
+        }
+    }
+    return changes;
+}
+
+void takeover_policy::note_dead(const node_identity& node, steady_time now) {
+    const std::string text = text_of(node);
+    if (!alive_.contains(text)) {
+        dead_since_.try_emplace(text, now);
+    }
+}
+
+bool takeover_policy::is_dead_for(const node_identity& node, std::chrono::milliseconds time) const {
+    const auto since = dead_since_.find(text_of(node));
+    return since != dead_since_.end() && clock_.now() - since->second >= time;
+}
+
+bool takeover_policy::is_place(const service_record& service, const node_identity& node) const {
+    return std::any_of(service.places.begin(), service.places.end(),
+                       [&node](const node_place& place) { return place.node == node; });
+}
+
+std::optional<slot_change> takeover_policy::change_of(const slot_id& slot, const slot_assignment* current,
+                                                      const service_record& service) const {
+    if (current == nullptr) {
+        return first_change(slot, service);
+    }
+    if (current->holder == self_) {
+        return holder_change(*current, service);
+    }
+    return candidate_change(*current, service);
+}
+
+std::optional<slot_change> takeover_policy::first_change(const slot_id& slot,
+                                                         const service_record& service) const {
+    slot_proposal proposal = propose_assignment(slot, service.places);
+    if (draining_ || proposal.holder != self_ || clock_.now() - service.known_since < options_.first_delay) {
+        return std::nullopt;
+    }
+    return make_change(
+        slot_change_kind::first,
+        {.slot = slot, .holder = std::move(proposal.holder), .candidates = std::move(proposal.candidates)});
+}
+
+std::optional<slot_change> takeover_policy::holder_change(const slot_assignment& current,
+                                                          const service_record& service) const {
+    if (draining_ || !is_place(service, self_)) {
+        return hand_over(current, service);
+    }
+    std::vector<node_identity> candidates = propose_candidates(current.slot, self_, service.places);
+    const bool has_dead = std::any_of(
+        current.candidates.begin(), current.candidates.end(),
+        [this](const node_identity& node) { return is_dead_for(node, options_.candidate_dead_for); });
+    // Candidates that only rank lower than a new node stay, because each renewal costs an append.
+    if (candidates == current.candidates || (!has_dead && candidates.size() <= current.candidates.size())) {
+        return std::nullopt;
+    }
+    return make_change(slot_change_kind::renew, {.slot = current.slot,
+                                                 .previous_epoch = current.epoch,
+                                                 .holder = self_,
+                                                 .candidates = std::move(candidates)});
+}
+
+std::optional<slot_change> takeover_policy::hand_over(const slot_assignment& current,
+                                                      const service_record& service) const {
+    std::vector<node_identity> successors = current.candidates;
+    const std::vector<node_identity> others = propose_candidates(current.slot, self_, service.places);
+    successors.insert(successors.end(), others.begin(), others.end());
+    const auto chosen = std::find_if(successors.begin(), successors.end(), [&](const node_identity& node) {
+        return node != self_ && is_place(service, node) && alive_.contains(text_of(node));
+    });
+    if (chosen == successors.end()) {
+        return std::nullopt;
+    }
+    slot_assignment next{.slot = current.slot, .previous_epoch = current.epoch, .holder = *chosen};
+    next.planned = true;
+    std::vector<node_place> places = service.places;
+    std::erase_if(places, [this](const node_place& place) { return place.node == self_; });
+    next.candidates = propose_candidates(current.slot, *chosen, places);
+    return slot_change{slot_change_kind::hand_over, std::move(next), *chosen};
+}
+
+std::optional<slot_change> takeover_policy::candidate_change(const slot_assignment& current,
+                                                             const service_record& service) const {
+    const auto own = std::find(current.candidates.begin(), current.candidates.end(), self_);
+    if (draining_ || own == current.candidates.end()) {
+        return std::nullopt;
+    }
+    const auto before = std::count_if(current.candidates.begin(), own, [this](const node_identity& node) {
+        return alive_.contains(text_of(node));
+    });
+    if (!is_dead_for(current.holder, options_.holder_dead_for + before * options_.candidate_stagger)) {
+        return std::nullopt;
+    }
+    return make_change(slot_change_kind::take_over,
+                       {.slot = current.slot,
+                        .previous_epoch = current.epoch,
+                        .holder = self_,
+                        .candidates = propose_candidates(current.slot, self_, service.places)});
+}
+
+}  // namespace teaselpitch
