--- a/drivers/log/log_follower.cpp
+++ b/drivers/log/log_follower.cpp
@@ -68,7 +68,7 @@
             break;
         }
         if (hooks_.on_record) {
-            hooks_.on_record(record.offset(), result);
+            hooks_.on_record(record, result);
         }
         if (result.table_changed && hooks_.on_table) {
             hooks_.on_table();
--- a/drivers/log/log_follower.h
+++ b/drivers/log/log_follower.h
@@ -24,8 +24,8 @@
 };
 
 struct log_follower_hooks {
-    /// Called after each record that was processed, and after a snapshot of a peer was adopted.
-    std::function<void(std::uint64_t offset, const apply_result& result)> on_record;
+    /// Called after each record that was processed.
+    std::function<void(const wire::StoredRecord& record, const apply_result& result)> on_record;
     /// Called after the replica's table changed.
     std::function<void()> on_table;
     /// Called when the log becomes unavailable, with the reason, and with an empty reason when it is back.
--- /dev/null
+++ b/main/ctl/node_wait.cpp
@@ -0,0 +1,122 @@
+#include "main/ctl/node_wait.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/clock.h"
+#include "drivers/log/endpoint_text.h"
+#include "drivers/log/http_call.h"
+#include "main/ctl/node_versions.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{200};
+constexpr std::chrono::milliseconds answer_timeout{1'000};
+
+// Nodes that are missing in the members' reports and asked directly in one round.
+constexpr std::size_t max_direct_polls = 64;
+
+// Asks nodes at the same time; calls that fail leave the reason under the address.
+class status_poller {
+public:
+    explicit status_poller(node_versions& versions) : versions_(versions) {}
+
+    void poll(const std::vector<std::string>& addresses) {
+        boost::asio::io_context context(1);
+        for (const std::string& address : addresses) {
+            boost::asio::co_spawn(context, ask(address), boost::asio::detached);
+        }
+        context.run();
+    }
+
+    [[nodiscard]] const std::map<std::string, std::string>& failures() const { return failures_; }
+
+private:
+    awaitable<void> ask(std::string address) {
+        const auto parsed = parse_endpoint(address);
+        if (!parsed) {
+            failures_[address] = "not ADDRESS:PORT";
+            co_return;
+        }
+        const auto answer = co_await log_http::call(*parsed, {"GET", "/v1/status", "", ""}, answer_timeout);
+        if (!answer.answered || answer.status != 200) {
+            failures_[address] = answer.answered ? "status " + std::to_string(answer.status) : answer.detail;
+            co_return;
+        }
+        if (const absl::Status merged = versions_.merge(answer.body); !merged.ok()) {
+            failures_[address] = std::string(merged.message());
+            co_return;
+        }
+        failures_.erase(address);
+    }
+
+    node_versions& versions_;
+    std::map<std::string, std::string> failures_;
+};
+
+std::vector<std::string> admin_addresses(const node_versions& versions,
+                                         const std::vector<std::string>& names) {
+    std::vector<std::string> addresses;
+    for (const std::string& name : names) {
+        const std::string& admin = versions.all().at(name).admin;
+        if (!admin.empty() && addresses.size() < max_direct_polls) {
+            addresses.push_back(admin);
+        }
+    }
+    return addresses;
+}
+
+void report_missing(ctl_context& context, const node_versions& versions, const status_poller& poller,
+                    std::uint64_t version) {
+    context.err << "error: version " << version
+                << " is accepted, but not in effect on each live node in time\n";
+    for (const std::string& name : versions.missing(version)) {
+        const auto& node = versions.all().at(name);
+        context.err << "missing: " << name << " zone " << node.zone << " at version " << node.version << '\n';
+    }
+    for (const auto& [address, reason] : poller.failures()) {
+        context.err << "unreachable: " << address << " (" << reason << ")\n";
+    }
+}
+
+}  // namespace
+
+int wait_for_version(ctl_context& context, std::uint64_t version, std::chrono::milliseconds timeout) {
+    const system_time_source clock;
+    const steady_time start = clock.now();
+    node_versions versions;
+    status_poller poller(versions);
+    std::string last_line;
+    for (;;) {
+        versions.start_round();
+        poller.poll(context.nodes);
+        poller.poll(admin_addresses(versions, versions.missing(version)));
+        const std::size_t missing = versions.missing(version).size();
+        const std::size_t live = versions.live_count();
+        const std::string line =
+            fmt::format("{} of {} live nodes at version {}", live - missing, live, version);
+        if (line != last_line) {
+            context.err << line << std::endl;
+            last_line = line;
+        }
+        const auto elapsed = clock.now() - start;
+        if (missing == 0 && live > 0) {
+            return exit_status::ok;
+        }
+        if (elapsed >= timeout) {
+            report_missing(context, versions, poller, version);
+            return exit_status::not_everywhere;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/main/ctl/node_wait.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "main/ctl/ctl_context.h"
+
+namespace teaselpitch {
+
+/// Polls the nodes of the options until each live node reports the version. Writes progress lines and,
+/// at the timeout, the names of the missing nodes. Returns the exit status.
+int wait_for_version(ctl_context& context, std::uint64_t version, std::chrono::milliseconds timeout);
+
+}  // namespace teaselpitch
--- a/servers/table/edit_publisher.cpp
+++ b/servers/table/edit_publisher.cpp
@@ -59,15 +59,13 @@
         return;
     }
     if (!may_be_stored_) {
-        finish(publish_rejected{"log_unavailable: the log did not store the edit: " + reason,
-                                base_->version(),
-                                {},
-                                {}});
+        finish(publish_rejected{
+            "log_unavailable: the log did not store the edit: " + reason, base_->version(), {}, {}});
         return;
     }
-    finish(publish_in_doubt{"log_unavailable: " + reason,
-                            "when the log is available, run: teaselpitchctl table history --edit " +
-                                edit_.edit_id()});
+    finish(publish_in_doubt{
+        "log_unavailable: " + reason,
+        "when the log is available, run: teaselpitchctl table history --edit " + edit_.edit_id()});
 }
 
 void edit_publisher::finish(publish_result result) {
