Wire the node program: ingress, gate, peers, table and announcements

One control thread follows the log, exchanges state with the other nodes and serves the admin listener; each shard runs callers, peers and target connections. Built; not yet run.

--- a/main/ctl/node_wait.cpp
+++ b/main/ctl/node_wait.cpp
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "drivers/log/endpoint_text.h"
 #include "drivers/log/http_call.h"
 #include "main/ctl/node_versions.h"
 
--- /dev/null
+++ b/modules/node/admin_api.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "drivers/http/admin_server.h"
+#include "modules/node/control_plane.h"
+#include "modules/node/node_context.h"
+
+namespace teaselpitch {
+
+/// The paths of the admin listener. Runs on the control thread.
+class admin_api {
+public:
+    /// `request_drain` starts the graceful stop of the process.
+    admin_api(node_context& context, control_plane& control, std::function<void()> request_drain);
+
+    awaitable<admin_response> handle(admin_request request);
+
+private:
+    // Commands.
+    admin_response announce(const admin_request& request);
+    admin_response drain(const admin_request& request);
+
+    // Queries.
+    [[nodiscard]] admin_response status() const;
+    [[nodiscard]] admin_response show_table() const;
+    [[nodiscard]] admin_response explain(const admin_request& request) const;
+    [[nodiscard]] admin_response burn() const;
+    [[nodiscard]] admin_response metrics() const;
+
+    node_context& context_;
+    control_plane& control_;
+    const std::function<void()> request_drain_;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/node.cpp
@@ -0,0 +1,121 @@
+#include "modules/node/node.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+
+node::node(const node_settings& settings, const time_source& clock, std::uint64_t incarnation)
+    : settings_(settings),
+      context_(settings_, clock, {settings_.name, incarnation},
+               [this](std::function<void()> work) { boost::asio::post(control_, std::move(work)); }),
+      plane_(control_, context_),
+      api_(context_, plane_, [this] { request_drain(); }),
+      admin_(control_.get_executor(), settings_.admin_listen,
+             [this](admin_request request) { return api_.handle(std::move(request)); }),
+      shards_(settings_.threads) {
+    context_.target_changed = [this](const kept_target_fact& fact) { plane_.on_own_target(fact); };
+    context_.target_crashed = [](const gate_run&, std::uint64_t) {};
+}
+
+node::~node() {
+    // The shards' threads end before the objects that they use.
+    shards_.stop();
+}
+
+absl::Status node::run() {
+    const absl::StatusOr<endpoint> admin = admin_.start();
+    if (!admin.ok()) {
+        return admin.status();
+    }
+    if (absl::Status started = start_shards(); !started.ok()) {
+        return started;
+    }
+    plane_.start();
+    boost::asio::signal_set signals(control_, SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (!error) {
+            log_event(event_level::info, "signal", {{"number", signal}});
+            request_drain();
+        }
+    });
+    log_event(event_level::info, "node_started",
+              {{"node", context_.self.name},
+               {"incarnation", context_.self.incarnation},
+               {"zone", settings_.availability_zone},
+               {"callers", to_string(settings_.caller_listen)},
+               {"admin", to_string(*admin)},
+               {"peers", to_string(settings_.peer_listen)},
+               {"threads", settings_.threads}});
+    control_.run();
+    shards_.stop();
+    return absl::OkStatus();
+}
+
+absl::Status node::start_shards() {
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+        shard_hooks hooks;
+        hooks.control = make_control_handler();
+        shard_states_.push_back(
+            std::make_unique<node_shard>(shards_.context(i).get_executor(), context_, std::move(hooks)));
+        if (absl::Status started = shard_states_.back()->start(); !started.ok()) {
+            return started;
+        }
+    }
+    shards_.start();
+    return absl::OkStatus();
+}
+
+void node::request_drain() {
+    if (drain_requested_) {
+        return;
+    }
+    drain_requested_ = true;
+    boost::asio::co_spawn(control_, drain(), [this](std::exception_ptr) { control_.stop(); });
+}
+
+awaitable<void> node::drain() {
+    using namespace boost::asio::experimental::awaitable_operators;
+    context_.draining = true;
+    log_event(event_level::info, "drain_started", {{"node", context_.self.name}});
+    co_await plane_.announce_drain();
+    boost::asio::steady_timer limit(control_, settings_.drain_timeout);
+    const auto all_shards = [this]() -> awaitable<void> {
+        for (std::size_t i = 0; i < shard_states_.size(); ++i) {
+            co_await drain_shard(i);
+        }
+    };
+    const auto finished = co_await (all_shards() || limit.async_wait(boost::asio::use_awaitable));
+    log_event(event_level::info, "drain_ended",
+              {{"node", context_.self.name}, {"everything_finished", finished.index() == 0}});
+}
+
+awaitable<void> node::drain_shard(std::size_t index) {
+    // The shard's objects are used on its own thread only.
+    co_await boost::asio::co_spawn(shards_.context(index), shard_states_[index]->drain(),
+                                   boost::asio::use_awaitable);
+}
+
+control_handler node::make_control_handler() {
+    return
+        [this](std::string_view method, std::string_view payload) -> awaitable<absl::StatusOr<std::string>> {
+            // The control plane's state belongs to the control thread.
+            return [](node& self, std::string method_text,
+                      std::string payload_text) -> awaitable<absl::StatusOr<std::string>> {
+                co_return co_await boost::asio::co_spawn(
+                    self.control_, self.plane_.handle_call(std::move(method_text), std::move(payload_text)),
+                    boost::asio::use_awaitable);
+            }(*this, std::string(method), std::string(payload));
+        };
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/node.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "drivers/http/admin_server.h"
+#include "modules/node/admin_api.h"
+#include "modules/node/control_plane.h"
+#include "modules/node/node_context.h"
+#include "modules/node/node_shard.h"
+#include "platform/shard_group.h"
+
+namespace teaselpitch {
+
+/// One node: the control thread's tasks and the shards. run() blocks until the node has drained.
+class node {
+public:
+    node(const node_settings& settings, const time_source& clock, std::uint64_t incarnation);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    ~node();
+
+    /// Starts the listeners and runs until SIGTERM, SIGINT or a drain request has been carried out.
+    absl::Status run();
+
+private:
+    absl::Status start_shards();
+    void request_drain();
+    awaitable<void> drain();
+    awaitable<void> drain_shard(std::size_t index);
+    control_handler make_control_handler();
+
+    const node_settings settings_;
+    boost::asio::io_context control_{1};
+    node_context context_;
+    control_plane plane_;
+    admin_api api_;
+    admin_server admin_;
+    shard_group shards_;
+    std::vector<std::unique_ptr<node_shard>> shard_states_;
+    bool drain_requested_ = false;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/node_context.cpp
@@ -0,0 +1,36 @@
+#include "modules/node/node_context.h"
+
+#include <utility>
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::size_t records_per_subject = 4'096;
+
+}  // namespace
+
+node_context::node_context(const node_settings& settings_in, const time_source& clock_in,
+                           node_identity self_in, std::function<void(std::function<void()>)> post_control_in)
+    : settings(settings_in),
+      clock(clock_in),
+      self(std::move(self_in)),
+      post_control(std::move(post_control_in)),
+      decisions(clock, records_per_subject),
+      outcomes(clock),
+      paths(clock, path_options_for(detection_policy::balanced)),
+      routing(
+          std::make_shared<const routing_table>(std::make_shared<const table>(), settings.availability_zone)),
+      nodes(std::make_shared<const node_directory>()),
+      services(clock, {.own_zone = settings.availability_zone, .warm_up = settings.warm_up}, decisions,
+               [this](const std::string& service) {
+                   post_control([this, service] { services.router(service).refresh(); });
+               }),
+      targets(
+          clock,
+          {.admission_of = [this](std::string_view service) { return routing.read()->admission_of(service); },
+           .changed = [this](const kept_target_fact& fact) { target_changed(fact); },
+           .quarantined = [this](const gate_run& run,
+                                 std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
+          decisions) {}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/node_shard.cpp
@@ -0,0 +1,209 @@
+#include "modules/node/node_shard.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+namespace {
+
+caller_server_options caller_options(const node_settings& settings) {
+    caller_server_options options;
+    options.listen = settings.caller_listen;
+    options.reuse_port = true;
+    options.node = settings.name;
+    options.max_header_bytes = static_cast<std::uint32_t>(settings.max_header_bytes);
+    options.max_body_bytes = settings.max_body_bytes;
+    return options;
+}
+
+peer_server_options peer_options(const node_settings& settings) {
+    peer_server_options options;
+    options.listen = settings.peer_listen;
+    options.reuse_port = true;
+    return options;
+}
+
+}  // namespace
+
+/// The exchanges that end at this node: keyed ones at the holder, all others at the gate.
+class node_shard::own_entry final : public exchange_handler {
+public:
+    own_entry(gate& entry, const shard_hooks& hooks) : gate_(entry), hooks_(hooks) {}
+
+    awaitable<exchange_result> exchange(const request_head& head, body_reader& body,
+                                        response_writer& writer) override {
+        if (hooks_.run_keyed && head.non_idempotent && !head.idempotency_key.empty()) {
+            return hooks_.run_keyed(gate_, head, body, writer);
+        }
+        return gate_.exchange(head, body, writer);
+    }
+
+private:
+    gate& gate_;
+    const shard_hooks& hooks_;
+};
+
+node_shard::node_shard(boost::asio::any_io_executor executor, node_context& context, shard_hooks hooks)
+    : executor_(executor),
+      context_(context),
+      hooks_(std::move(hooks)),
+      router_(context),
+      peers_(executor, context.clock,
+             {.bind_address = context.settings.bind_address.value_or(""),
+              .on_silent_connection = [this](const endpoint& peer) { on_silent_connection(peer); }}),
+      gate_(context.clock, context.tickets, make_gate_hooks()),
+      own_entry_(std::make_unique<own_entry>(gate_, hooks_)),
+      peer_entry_(context, *own_entry_,
+                  [this](const endpoint& peer, const request_head& head, body_reader& body,
+                         response_writer& writer) { return peers_.exchange(peer, head, body, writer); }),
+      ingress_(context.clock, {.default_timeout = context.settings.default_timeout}, make_ingress_hooks()),
+      callers_(executor, caller_options(context.settings), ingress_, context.clock,
+               [this] { return new_request_id(); }),
+      peer_server_(executor, peer_options(context.settings), peer_entry_, hooks_.control, context.clock) {}
+
+node_shard::~node_shard() = default;
+
+absl::Status node_shard::start() {
+    const absl::StatusOr<endpoint> callers = callers_.start();
+    if (!callers.ok()) {
+        return callers.status();
+    }
+    return peer_server_.start().status();
+}
+
+awaitable<void> node_shard::drain() {
+    using namespace boost::asio::experimental::awaitable_operators;
+    // Callers first: their exchanges may still need the peers and the own gate.
+    co_await callers_.drain();
+    co_await peer_server_.drain();
+    peers_.close();
+}
+
+gate_hooks node_shard::make_gate_hooks() {
+    gate_hooks hooks;
+    hooks.find_target = [this](std::string_view name) -> std::shared_ptr<guarded_target> {
+        const std::shared_ptr<kept_target> target = context_.targets.find(name);
+        // The aliasing pointer keeps the whole entry alive while a request uses its gate.
+        return target ? std::shared_ptr<guarded_target>(target, &target->guarded()) : nullptr;
+    };
+    hooks.is_quarantined = [this](const request_head& head) {
+        return context_.targets.quarantine().is_quarantined(head.fingerprint);
+    };
+    hooks.send = [this](const guarded_target& target, const request_head& head, body_reader& body,
+                        response_writer& writer, const write_permission& permission) {
+        return send_to_target(target, head, body, writer, permission);
+    };
+    hooks.run_started = [this](const gate_run& run) { context_.targets.on_run_started(run); };
+    hooks.run_ended = [this](const gate_run_end& end) {
+        context_.metrics.count_gate_run(end.run.head.service, end.head_latency);
+        context_.targets.on_run_ended(end);
+    };
+    hooks.refused = [this](const request_head& head, const exchange_result& result) {
+        context_.metrics.count_gate_refusal(head.service, result.error);
+    };
+    return hooks;
+}
+
+ingress_hooks node_shard::make_ingress_hooks() {
+    ingress_hooks hooks;
+    hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
+    hooks.admit = [this](const request_head& head) { return router_.admit(head); };
+    hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
+        if (hooks_.choose_holder && head.non_idempotent && !head.idempotency_key.empty()) {
+            return hooks_.choose_holder(head);
+        }
+        return router_.choose(head, tried);
+    };
+    hooks.dispatch = [this](const route_choice& choice, const request_head& head, body_reader& body,
+                            response_writer& writer) { return dispatch(choice, head, body, writer); };
+    hooks.may_retry = [this](const request_head& head, const exchange_result& result,
+                             std::uint32_t attempts) { return router_.may_retry(head, result, attempts); };
+    hooks.attempt_ended = [this](const attempt_report& report) { router_.attempt_ended(report); };
+    hooks.exchange_ended = [this](const ingress_report& report) { router_.exchange_ended(report); };
+    return hooks;
+}
+
+awaitable<exchange_result> node_shard::send_to_target(const guarded_target& target, const request_head& head,
+                                                      body_reader& body, response_writer& writer,
+                                                      const write_permission& permission) {
+    const std::shared_ptr<target_client> client = client_of(target);
+    co_return co_await client->exchange(head, body, writer, permission);
+}
+
+awaitable<exchange_result> node_shard::dispatch(const route_choice& choice, const request_head& head,
+                                                body_reader& body, response_writer& writer) {
+    if (choice.local) {
+        co_return co_await own_entry_->exchange(head, body, writer);
+    }
+    exchange_result result = co_await peers_.exchange(choice.peer, head, body, writer);
+    if (result.error != error_kind::peer_unreachable || result.load || head.detours > 0) {
+        co_return result;
+    }
+    co_return co_await detour(choice, head, body, writer, std::move(result));
+}
+
+awaitable<exchange_result> node_shard::detour(const route_choice& choice, const request_head& head,
+                                              body_reader& body, response_writer& writer,
+                                              exchange_result direct) {
+    // A keyed request names no target, so the third node could not tell where it belongs.
+    const std::optional<node_address> third = detour_node(choice.node);
+    if (!third || head.target.name.empty()) {
+        co_return direct;
+    }
+    log_event(event_level::info, "detour",
+              {{"request_id", head.request_id}, {"node", choice.node}, {"through", third->identity.name}});
+    request_head onwards = head;
+    onwards.detours = 1;
+    co_return co_await peers_.exchange(third->peer, onwards, body, writer);
+}
+
+std::optional<node_address> node_shard::detour_node(const std::string& avoided) const {
+    // A node of another availability zone than the avoided one most likely has another path to it.
+    const auto nodes = context_.nodes.read();
+    const auto target = nodes->find(avoided);
+    const node_address* best = nullptr;
+    for (const auto& [name, address] : *nodes) {
+        if (name == avoided || name == context_.self.name || !address.reachable) {
+            continue;
+        }
+        const bool same_zone = target != nodes->end() && address.zone == target->second.zone;
+        if (best == nullptr || same_zone) {
+            best = &address;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<node_address>(*best);
+}
+
+std::shared_ptr<target_client> node_shard::client_of(const guarded_target& target) {
+    const auto known = clients_.find(target.identity());
+    if (known != clients_.end()) {
+        return known->second;
+    }
+    // Earlier incarnations of the target and targets that are gone need no client any more.
+    std::erase_if(clients_, [this](const auto& entry) {
+        const auto kept = context_.targets.find(entry.first.name);
+        return (!kept || kept->guarded().identity() != entry.first) && entry.second.use_count() == 1;
+    });
+    target_client_options options;
+    options.target_name = target.identity().name;
+    auto client = std::make_shared<target_client>(executor_, target.address(), context_.clock, options);
+    clients_.emplace(target.identity(), client);
+    return client;
+}
+
+void node_shard::on_silent_connection(const endpoint& peer) {
+    context_.metrics.count_silent_connection();
+    log_event(event_level::warning, "silent_connection", {{"peer", to_string(peer)}, {"action", "replaced"}});
+}
+
+std::string node_shard::new_request_id() {
+    // Name and incarnation make the number unique in the fleet and across restarts.
+    return fmt::format("{}-{:x}-{}", context_.self.name, context_.self.incarnation,
+                       context_.request_numbers.fetch_add(1, std::memory_order_relaxed));
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/peer_entry.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <functional>
+
+#include "modules/node/node_context.h"
+#include "servers/exchange/exchange.h"
+
+namespace teaselpitch {
+
+/// Takes the exchanges that other nodes send: passes them to the own gate, or once onwards to the node of the
+/// target when the sender cannot reach that node itself.
+class peer_entry final : public exchange_handler {
+public:
+    using forwarder = std::function<awaitable<exchange_result>(const endpoint&, const request_head&,
+                                                               body_reader&, response_writer&)>;
+
+    peer_entry(node_context& context, exchange_handler& own, forwarder forward);
+
+    awaitable<exchange_result> exchange(const request_head& head, body_reader& body,
+                                        response_writer& writer) override;
+
+private:
+    [[nodiscard]] std::optional<endpoint> next_hop(const request_head& head) const;
+
+    node_context& context_;
+    exchange_handler& own_;
+    const forwarder forward_;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/request_router.cpp
@@ -0,0 +1,156 @@
+#include "modules/node/request_router.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+namespace {
+
+path_outcome path_outcome_of(const exchange_result& result) {
+    // A load report only comes from the gate, so path and gate work, whatever the target did.
+    if (result.load || result.error == error_kind::none) {
+        return path_outcome::answered;
+    }
+    switch (result.error) {
+        case error_kind::peer_unreachable:
+            return path_outcome::unreachable;
+        case error_kind::outcome_unknown:
+            return path_outcome::connection_lost;
+        case error_kind::answer_broken:
+            return path_outcome::answer_broken;
+        case error_kind::target_timeout:
+            return path_outcome::gate_overdue;
+        default:
+            return path_outcome::answered;
+    }
+}
+
+double milliseconds(std::chrono::nanoseconds value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+}  // namespace
+
+std::optional<route_decision> request_router::find_route(const request_head& head) const {
+    const auto routing = context_.routing.read();
+    const auto match = routing->routes().find(head.host, head.path, head.method);
+    if (!match) {
+        return std::nullopt;
+    }
+    return route_decision{std::string(match->service), match->non_idempotent, routing->timeout_of(*match)};
+}
+
+refusal request_router::admit(const request_head& head) const {
+    if (context_.targets.quarantine().is_quarantined(head.fingerprint)) {
+        return {error_kind::quarantined, "equal requests crashed several targets", std::nullopt};
+    }
+    return {};
+}
+
+choice_or_refusal<route_choice> request_router::choose(const request_head& head,
+                                                       std::span<const std::string> tried) {
+    choice_or_refusal<route_choice> result;
+    const auto router = context_.services.find(head.service);
+    if (!router) {
+        result.refused = {error_kind::no_target, "no target of the service has announced itself",
+                          std::nullopt};
+        return result;
+    }
+    choice chosen = router->choose(tried);
+    if (!chosen.target) {
+        result.refused = {chosen.error, "no target of the service can take the request", std::nullopt};
+        return result;
+    }
+    route_choice route;
+    route.target = chosen.target->target();
+    route.node = chosen.target->node();
+    route.local = route.node == context_.self.name;
+    route.reason = "least_loaded_of_two";
+    route.hold = std::make_shared<chosen_target>(std::move(*chosen.target));
+    const auto nodes = context_.nodes.read();
+    const auto address = nodes->find(route.node);
+    if (address != nodes->end()) {
+        route.peer = address->second.peer;
+    } else if (!route.local) {
+        result.refused = {error_kind::no_target, "the node of the chosen target is not known", std::nullopt};
+        return result;
+    }
+    result.choice = std::move(route);
+    return result;
+}
+
+bool request_router::may_retry(const request_head& head, const exchange_result& result,
+                               std::uint32_t attempts) {
+    const auto router = context_.services.find(head.service);
+    if (!router) {
+        return false;
+    }
+    failed_attempt attempt;
+    attempt.error = result.error;
+    attempt.execution = result.execution;
+    attempt.head_written = result.head_written;
+    attempt.non_idempotent = head.non_idempotent;
+    attempt.attempts = attempts;
+    attempt.deadline = head.deadline;
+    return router->retries().on_failure(attempt).retry;
+}
+
+void request_router::attempt_ended(const attempt_report& report) {
+    context_.metrics.count_attempt(report.head.service, report.result.error);
+    const auto router = context_.services.find(report.head.service);
+    if (!router) {
+        return;
+    }
+    if (report.result.load) {
+        router->on_load(*report.result.load);
+    }
+    if (!report.choice.local) {
+        judge_path(report, *router);
+    }
+}
+
+void request_router::judge_path(const attempt_report& report, service_router& router) {
+    const path_outcome outcome = path_outcome_of(report.result);
+    const std::string& target = report.choice.target.name;
+    // Each attempt counts as a connection of its own; the judge merges what one connection took down only
+    // when the transport names it.
+    context_.paths.on_result(target, report.choice.node, context_.tickets.fetch_add(1), outcome);
+    router.on_path(target, context_.paths.target_badness(target));
+    router.on_node_path(report.choice.node, context_.paths.node_badness(report.choice.node));
+}
+
+void request_router::exchange_ended(const ingress_report& report) {
+    const request_head& head = report.head;
+    const auto router = context_.services.find(head.service);
+    if (router && report.result.error == error_kind::none) {
+        router->retries().on_success();
+    }
+    context_.metrics.count_request(head.service, report.result.error, report.latency);
+    const auto objective = context_.routing.read()->latency_objective_of(head.service);
+    context_.outcomes.add(
+        head.service, context_.settings.availability_zone,
+        classify_outcome(report.result.error, report.http_status, report.latency, objective));
+    record_request(report);
+}
+
+void request_router::record_request(const ingress_report& report) {
+    decision_record record;
+    record.subject = decision_subject::request;
+    record.id = report.head.request_id;
+    record.service = report.head.service;
+    record.decision = std::string(answer_of(report.result.error).name);
+    record.rule = report.result.detail;
+    record.evidence = {{"status", std::to_string(report.http_status)},
+                       {"execution", std::string(to_string(report.result.execution))},
+                       {"latency_ms", fmt::format("{:.3f}", milliseconds(report.latency))},
+                       {"fingerprint", std::to_string(report.head.fingerprint)}};
+    for (const std::string& attempt : report.attempts) {
+        record.evidence.push_back({"attempt", attempt});
+    }
+    context_.decisions.add(std::move(record));
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/request_router.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+#include "modules/node/node_context.h"
+#include "modules/proxy/ingress.h"
+
+namespace teaselpitch {
+
+/// The decisions of the ingress, answered from the state of the node.
+class request_router {
+public:
+    explicit request_router(node_context& context) : context_(context) {}
+
+    // Queries.
+    [[nodiscard]] std::optional<route_decision> find_route(const request_head& head) const;
+    [[nodiscard]] refusal admit(const request_head& head) const;
+
+    // Commands.
+    choice_or_refusal<route_choice> choose(const request_head& head, std::span<const std::string> tried);
+    bool may_retry(const request_head& head, const exchange_result& result, std::uint32_t attempts);
+    void attempt_ended(const attempt_report& report);
+    void exchange_ended(const ingress_report& report);
+
+private:
+    void judge_path(const attempt_report& report, service_router& router);
+    void record_request(const ingress_report& report);
+
+    node_context& context_;
+};
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/routing_table.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "modules/node/service_router.h"
+#include "modules/node/target_keeper.h"
+#include "servers/records/outcome_counters.h"
+#include "servers/routing/route_index.h"
+#include "servers/table/table.h"
+
+namespace teaselpitch {
+
+/// One version of the table with its route index; immutable and read without a lock.
+class routing_table {
+public:
+    /// `zone` is this node's availability zone.
+    routing_table(std::shared_ptr<const table> rows, std::string zone);
+
+    [[nodiscard]] const table& rows() const { return *rows_; }
+    [[nodiscard]] const route_index& routes() const { return routes_; }
+
+    /// Timeout of a route: of its row, or else of the service's row; 0 when neither names one.
+    [[nodiscard]] std::chrono::milliseconds timeout_of(const route_match& match) const;
+    [[nodiscard]] service_rules rules_of(std::string_view service) const;
+    [[nodiscard]] service_admission admission_of(std::string_view service) const;
+    /// Latency above which an answer is slow for the burn report.
+    [[nodiscard]] std::chrono::milliseconds latency_objective_of(std::string_view service) const;
+
+private:
+    std::shared_ptr<const table> rows_;
+    std::string zone_;
+    route_index routes_;
+};
+
+}  // namespace teaselpitch
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -18,11 +19,12 @@
 
 /// Where an attempt goes.
 struct route_choice {
-    target_identity target;  ///< Empty for a keyed request; its holder chooses.
-    std::string node;        ///< Name of the node whose gate guards the target.
-    bool local = false;      ///< The gate is in this process.
-    endpoint peer;           ///< Peer listener of the node.
-    std::string reason;      ///< Which rule chose it, for explain.
+    target_identity target;            ///< Empty for a keyed request; its holder chooses.
+    std::string node;                  ///< Name of the node whose gate guards the target.
+    bool local = false;                ///< The gate is in this process.
+    endpoint peer;                     ///< Peer listener of the node.
+    std::string reason;                ///< Which rule chose it, for explain.
+    std::shared_ptr<const void> hold;  ///< Keeps the request counted at the target until the attempt ends.
 };
 
 /// What routing says about a request.
