Refuse malformed requests before they reach a handler

Change: caller_body reads small sized bodies and the first chunk before the handler starts. A temporary in a conditional co_await argument was destroyed twice under GCC 12; it is a local now.

--- a/drivers/http/admin_server.h
+++ b/drivers/http/admin_server.h
@@ -34,7 +34,7 @@
     using handler = std::function<boost::asio::awaitable<admin_response>(admin_request)>;
 
     /// Longest accepted body, in bytes.
-    static constexpr std::size_t max_body_bytes = 8 * 1024 * 1024;
+    static constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
 
     admin_server(boost::asio::any_io_executor executor, endpoint listen, handler handle);
     admin_server(const admin_server&) = delete;
--- a/drivers/http/caller_body.cpp
+++ b/drivers/http/caller_body.cpp
@@ -9,7 +9,10 @@
 
 caller_body::caller_body(tcp::socket& socket, beast::flat_buffer& buffer, parser& source,
                          io_deadline& deadline, std::chrono::milliseconds timeout)
-    : socket_(socket), buffer_(buffer), parser_(source), deadline_(deadline), timeout_(timeout) {}
+    : socket_(socket), buffer_(buffer), parser_(source), deadline_(deadline), timeout_(timeout) {
+    on_chunk_header_ = [this](std::uint64_t size, auto, error_code&) { announced_ += size; };
+    parser_.on_chunk_header(on_chunk_header_);
+}
 
 awaitable<absl::StatusOr<std::size_t>> caller_body::read_some(std::span<std::byte> buffer) {
     if (prefetched_taken_ < prefetched_.size()) {
@@ -90,8 +93,8 @@
             co_return size.status();
         }
         filled += *size;
-        if (!whole) {
-            break;
+        if (!whole && filled >= announced_) {
+            break;  // The first chunk is complete; its sender may wait for the answer.
         }
     }
     data.resize(filled);
--- a/drivers/http/caller_body.h
+++ b/drivers/http/caller_body.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
 
@@ -29,7 +30,7 @@
     void expect_continue() { continue_due_ = true; }
 
     /// Reads the start of the body, so that a short or malformed one is refused before it reaches the
-    /// handler: all of a sized body up to the limit, or the first bytes of another one.
+    /// handler: all of a sized body or all of the first chunk, if it does not exceed the limit.
     awaitable<absl::Status> prefetch(std::size_t limit);
 
     /// False when the rest of the body is known to be longer than the limit, or broken.
@@ -54,6 +55,8 @@
     std::string prefetched_;
     std::size_t prefetched_taken_ = 0;
     absl::Status status_;
+    std::function<void(std::uint64_t, beast::string_view, error_code&)> on_chunk_header_;
+    std::uint64_t announced_ = 0;  // Sum of the chunk sizes so far.
     bool continue_due_ = false;
     bool reading_ = false;  // Stays set when a read was cancelled half-way.
 };
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -15,16 +15,16 @@
 namespace teaselpitch {
 namespace {
 
-constexpr std::size_t max_buffered = 128 * 1024;
-constexpr std::size_t read_step = 4 * 1024;
+constexpr std::size_t max_buffered = std::size_t{128} * 1024;
+constexpr std::size_t read_step = std::size_t{4} * 1024;
 /// A body up to this size is read before the handler starts.
-constexpr std::size_t prefetch_limit = 16 * 1024;
+constexpr std::size_t prefetch_limit = std::size_t{16} * 1024;
 /// More than this is not worth reading only to keep the connection.
-constexpr std::size_t discard_limit = 64 * 1024;
+constexpr std::size_t discard_limit = std::size_t{64} * 1024;
 constexpr std::chrono::milliseconds watch_interval{20};
 /// Time for the caller to take the last answer before the socket closes.
 constexpr std::chrono::milliseconds linger_limit{1'000};
-constexpr std::size_t linger_bytes = 1024 * 1024;
+constexpr std::size_t linger_bytes = std::size_t{1024} * 1024;
 
 /// True when the caller closed its sending side or the connection failed, even with unread bytes waiting.
 bool peer_closed(tcp::socket& socket) {
@@ -154,9 +154,10 @@
     const std::size_t used = source.put(net::buffer(buffered().data(), header_size), error);
     buffer_.consume(used);
     if (error || !source.is_header_done()) {
+        // The text is a local: GCC 12 destroys a conditional temporary of a co_await expression twice.
+        const std::string detail = error ? error.message() : std::string("the header is not complete");
         const bool too_large = error == http::error::body_limit;
-        co_await refuse(too_large ? error_kind::body_too_large : error_kind::malformed_request,
-                        error ? error.message() : "the header is not complete");
+        co_await refuse(too_large ? error_kind::body_too_large : error_kind::malformed_request, detail);
         co_return false;
     }
     co_return co_await serve_parsed(source);
--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -17,18 +17,18 @@
 
 struct caller_server_options {
     endpoint listen{"127.0.0.1", 0};
-    bool reuse_port = false;                           ///< Sets SO_REUSEPORT: one acceptor for each shard.
-    std::string node;                                  ///< Value of the Teaselpitch-Node field.
-    std::uint32_t max_header_bytes = 16 * 1024;        ///< Request line and fields.
-    std::uint64_t max_body_bytes = 1ULL << 30;         ///< Sized and chunked bodies.
-    std::size_t max_connections = 16 * 1024;           ///< Accepting pauses at this number.
-    std::chrono::milliseconds header_timeout{10'000};  ///< First byte to end of the header.
-    std::chrono::milliseconds idle_timeout{60'000};    ///< Between two requests.
-    std::chrono::milliseconds body_timeout{30'000};    ///< Without progress on the request body.
-    std::chrono::milliseconds write_timeout{30'000};   ///< Without progress on the answer.
-    std::chrono::milliseconds max_timeout{3'600'000};  ///< Deadline of a request that names none.
-    std::chrono::milliseconds drain_idle_grace{500};   ///< A draining server still takes one request on an
-                                                       ///< idle connection for this long.
+    bool reuse_port = false;                     ///< Sets SO_REUSEPORT: one acceptor for each shard.
+    std::string node;                            ///< Value of the Teaselpitch-Node field.
+    std::uint32_t max_header_bytes = 16 * 1024;  ///< Request line and fields.
+    std::uint64_t max_body_bytes = 1ULL << 30;   ///< Sized and chunked bodies.
+    std::size_t max_connections = std::size_t{16} * 1024;  ///< Accepting pauses at this number.
+    std::chrono::milliseconds header_timeout{10'000};      ///< First byte to end of the header.
+    std::chrono::milliseconds idle_timeout{60'000};        ///< Between two requests.
+    std::chrono::milliseconds body_timeout{30'000};        ///< Without progress on the request body.
+    std::chrono::milliseconds write_timeout{30'000};       ///< Without progress on the answer.
+    std::chrono::milliseconds max_timeout{3'600'000};      ///< Deadline of a request that names none.
+    std::chrono::milliseconds drain_idle_grace{500};  ///< A draining server still takes one request on an
+                                                      ///< idle connection for this long.
 };
 
 /// Accepts callers over HTTP/1.1 and hands each request to a handler. All calls run on the executor,
--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Small answers are sent with one write; more than this is not copied.
-constexpr std::size_t max_copied = 16 * 1024;
+constexpr std::size_t max_copied = std::size_t{16} * 1024;
 
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
--- a/drivers/http/http_call.h
+++ b/drivers/http/http_call.h
@@ -18,7 +18,7 @@
     std::string path = "/";             ///< Path and query.
     std::vector<header_field> headers;  ///< Host, Content-Length and Connection are added.
     std::string body;
-    std::size_t max_reply_bytes = 64 * 1024 * 1024;  ///< A longer reply fails the call.
+    std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;  ///< A longer reply fails the call.
 };
 
 struct http_reply {
--- a/drivers/http/target_exchange.cpp
+++ b/drivers/http/target_exchange.cpp
@@ -18,8 +18,8 @@
 namespace teaselpitch {
 namespace {
 
-constexpr std::size_t max_buffered = 128 * 1024;
-constexpr std::size_t piece_size = 32 * 1024;
+constexpr std::size_t max_buffered = std::size_t{128} * 1024;
+constexpr std::size_t piece_size = std::size_t{32} * 1024;
 /// Interim answers (1xx) in front of the answer.
 constexpr int max_interim = 16;
 
