--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -18,7 +18,7 @@
 struct caller_server_options {
     endpoint listen{"127.0.0.1", 0};
     bool reuse_port = false;                     ///< Sets SO_REUSEPORT: one acceptor for each shard.
-    std::string node;                            ///< Value of the Teaselpitch-Node field.
+    std::string node = {};                       ///< Value of the Teaselpitch-Node field.
     std::uint32_t max_header_bytes = 16 * 1024;  ///< Request line and fields.
     std::uint64_t max_body_bytes = 1ULL << 30;   ///< Sized and chunked bodies.
     std::size_t max_connections = std::size_t{16} * 1024;  ///< Accepting pauses at this number.
--- a/drivers/http/target_client.h
+++ b/drivers/http/target_client.h
@@ -15,7 +15,7 @@
 namespace teaselpitch {
 
 struct target_client_options {
-    std::string target_name;                           ///< Reported as response_head::target.
+    std::string target_name = {};                      ///< Reported as response_head::target.
     std::chrono::milliseconds connect_timeout{1'000};  ///< The deadline of the request may be shorter.
     std::chrono::milliseconds idle_timeout{30'000};    ///< Older idle connections are not reused.
     std::size_t max_idle = 64;                         ///< Idle connections that are kept.
--- a/tests/drivers/http/http_fixture.h
+++ b/tests/drivers/http/http_fixture.h
@@ -2,8 +2,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
+#include <span>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
