--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -1,6 +1,8 @@
 # Compile options of every target of this project; generated code is exempt from warnings.
 add_library(teaselpitch_options INTERFACE)
 target_compile_options(teaselpitch_options INTERFACE -Wall -Wextra -Werror)
+# GCC 12 takes the frame allocator of Asio's inlined coroutines for a mismatched pair of new and delete.
+target_compile_options(teaselpitch_options INTERFACE -Wno-mismatched-new-delete)
 target_compile_definitions(teaselpitch_options INTERFACE BOOST_ASIO_NO_DEPRECATED
                                                          BOOST_MPL_LIMIT_LIST_SIZE=30
                                                          BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS)
--- a/drivers/peer/client_stream.cpp
+++ b/drivers/peer/client_stream.cpp
@@ -161,12 +161,12 @@
 }
 
 exchange_result client_exchange::broken() {
-    if (stream_.not_run()) {
-        return failed_exchange(error_kind::peer_unreachable, "the peer took no part of the request");
-    }
     if (head_written_) {
         return failed_exchange(error_kind::answer_broken, "the stream ended before the answer was whole");
     }
+    if (stream_.not_run()) {
+        return failed_exchange(error_kind::peer_unreachable, "the peer took no part of the request");
+    }
     if (stream_.get()->expired) {
         return failed_exchange(error_kind::target_timeout, "the peer did not answer within the deadline");
     }
@@ -175,7 +175,7 @@
 
 exchange_result client_exchange::cancelled(std::string_view detail) {
     exchange_result result = failed_exchange(error_kind::cancelled, detail);
-    if (stream_.not_run()) {
+    if (!head_written_ && stream_.not_run()) {
         result.execution = execution_state::not_run;
     }
     return result;
--- a/drivers/peer/h2_callbacks.cpp
+++ b/drivers/peer/h2_callbacks.cpp
@@ -11,6 +11,9 @@
 namespace teaselpitch {
 namespace {
 
+// Bytes of the header fields of one stream; a caller's header has at most 16 KiB.
+constexpr std::size_t max_field_bytes = 131'072;
+
 h2_session& self(void* user) {
     return *static_cast<h2_session*>(user);
 }
@@ -70,6 +73,10 @@
                          std::uint8_t /*flags*/, void* user) {
     h2_stream* stream = self(user).find(frame->hd.stream_id);
     if (stream != nullptr) {
+        stream->field_bytes += name_length + value_length;
+        if (stream->field_bytes > max_field_bytes) {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        }
         h2_fields& fields = stream->head_received ? stream->trailer : stream->head;
         fields.emplace_back(std::string(reinterpret_cast<const char*>(name), name_length),
                             std::string(reinterpret_cast<const char*>(value), value_length));
@@ -131,11 +138,16 @@
     return 0;
 }
 
-int h2_callbacks::not_sent(nghttp2_session* /*session*/, const nghttp2_frame* frame, int /*error*/,
-                           void* user) {
+int h2_callbacks::not_sent(nghttp2_session* session, const nghttp2_frame* frame, int /*error*/, void* user) {
     h2_session& owner = self(user);
     h2_stream* stream = frame->hd.type == NGHTTP2_HEADERS ? owner.find(frame->hd.stream_id) : nullptr;
-    if (stream != nullptr && !stream->head_sent && owner.options_.role == h2_role::client) {
+    if (stream == nullptr) {
+        return 0;
+    }
+    if (owner.options_.role == h2_role::server) {
+        // An answer whose head is too large would otherwise leave its stream open.
+        nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_INTERNAL_ERROR);
+    } else if (!stream->head_sent) {
         owner.close_stream(frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
     }
     return 0;
--- a/drivers/peer/h2_session.cpp
+++ b/drivers/peer/h2_session.cpp
@@ -210,6 +210,10 @@
         ping_pending_ = false;
         return;
     }
+    give_up();
+}
+
+void h2_session::give_up() {
     if (hooks_.on_silent) {
         hooks_.on_silent();
     }
@@ -223,6 +227,22 @@
     co_return !closed_;
 }
 
+asio::awaitable<bool> h2_session::verify() {
+    using namespace asio::experimental::awaitable_operators;
+    const clock::time_point before = last_received_;
+    asio::steady_timer timer(socket_.get_executor(), options_.ping_deadline);
+    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+    flush();
+    while (!closed_ && last_received_ == before && clock::now() < timer.expiry()) {
+        co_await (received_.wait() || timer.async_wait(asio::use_awaitable));
+    }
+    boost::system::error_code error;
+    if (!closed_ && last_received_ == before && socket_.available(error) == 0) {
+        give_up();
+    }
+    co_return !closed_;
+}
+
 std::shared_ptr<h2_stream> h2_session::open(const h2_fields& head, bool has_body) {
     auto stream = std::make_shared<h2_stream>(socket_.get_executor());
     const std::vector<nghttp2_nv> values = to_values(head);
--- a/drivers/peer/h2_session.h
+++ b/drivers/peer/h2_session.h
@@ -58,6 +58,9 @@
     /// Waits until the peer's settings arrived; false when the session ended before.
     boost::asio::awaitable<bool> wait_ready();
 
+    /// Sends a PING and waits for any byte of the peer; closes the session when none comes in time.
+    boost::asio::awaitable<bool> verify();
+
     /// Opens a stream; without a body the head ends it. The session must be usable.
     std::shared_ptr<h2_stream> open(const h2_fields& head, bool has_body);
 
@@ -112,6 +115,7 @@
     std::size_t collect_output();
     void submit_settings();
     void check_silence();
+    void give_up();
     std::chrono::steady_clock::time_point next_check() const;
     void flush() { output_.notify(); }
     void add_stream(const std::shared_ptr<h2_stream>& stream);
--- a/drivers/peer/h2_stream.h
+++ b/drivers/peer/h2_stream.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,7 @@
 
     h2_fields head;     ///< First header block received.
     h2_fields trailer;  ///< Second header block received.
+    std::size_t field_bytes = 0;
     bool head_received = false;
     bool remote_ended = false;  ///< The peer's END_STREAM arrived.
     byte_queue inbound;         ///< Bounded by the stream's receive window.
--- a/drivers/peer/peer_pool.cpp
+++ b/drivers/peer/peer_pool.cpp
@@ -120,7 +120,11 @@
 awaitable<absl::StatusOr<std::shared_ptr<h2_session>>> peer_pool::state::acquire(endpoint peer) {
     while (!closed_) {
         if (std::shared_ptr<h2_session> session = find_usable(peer)) {
-            co_return session;
+            const bool quiet = session->open_streams() == 0 && session->silence() > options_.verify_after;
+            if (!quiet || (co_await session->verify() && session->usable())) {
+                co_return session;
+            }
+            continue;
         }
         entry& owner = peers_[peer];
         const auto usable = std::count_if(owner.sessions.begin(), owner.sessions.end(),
--- a/drivers/peer/peer_pool.h
+++ b/drivers/peer/peer_pool.h
@@ -23,7 +23,10 @@
     std::chrono::milliseconds ping_idle{100};        ///< Silence with open streams before a PING goes out.
     std::chrono::milliseconds ping_deadline{300};
     std::chrono::milliseconds idle_timeout{300'000};  ///< Closes a connection without streams.
-    std::size_t max_connections = 2;                  ///< Per peer.
+    /// A connection without streams that was quiet for longer answers a PING before it gets a request, so
+    /// that a request does not end as unknown on a connection that died unnoticed.
+    std::chrono::milliseconds verify_after{1000};
+    std::size_t max_connections = 2;            ///< Per peer.
     std::uint32_t stream_window = 262'144;      ///< Bytes of an answer that are buffered for one stream.
     std::size_t max_control_bytes = 4'194'304;  ///< Largest answer to a control call.
     /// Time after the deadline of an exchange in which the gate's own answer is still awaited.
--- a/drivers/peer/peer_server.cpp
+++ b/drivers/peer/peer_server.cpp
@@ -132,6 +132,7 @@
     result.stream_window = options_.stream_window;
     result.ping_idle = options_.ping_idle;
     result.ping_deadline = options_.ping_deadline;
+    result.idle_timeout = options_.idle_timeout;
     return result;
 }
 
--- a/drivers/peer/peer_server.h
+++ b/drivers/peer/peer_server.h
@@ -29,6 +29,8 @@
     /// A silent client loses its running requests, so the server waits longer than the client does.
     std::chrono::milliseconds ping_idle{1000};
     std::chrono::milliseconds ping_deadline{3000};
+    /// Closes a connection without streams; longer than the idle time of a pool, which closes first.
+    std::chrono::milliseconds idle_timeout{600'000};
 };
 
 /// Answers control calls: method and payload to the payload of the answer.
--- a/tests/drivers/peer/peer_fixture.h
+++ b/tests/drivers/peer/peer_fixture.h
@@ -212,6 +212,12 @@
     }
 }
 
+/// The head of an answer of this size. GCC 12 destroys an aggregate temporary twice when it is an argument of
+/// an awaited call, so the tests pass named heads.
+inline response_head ok_head(std::size_t size) {
+    return {200, "OK", {}, size, true, "t1"};
+}
+
 /// Writes a generated answer of this size.
 inline awaitable<exchange_result> answer_with(response_writer& writer, std::size_t size) {
     response_head head;
