--- a/servers/table/edit_publisher.cpp
+++ b/servers/table/edit_publisher.cpp
@@ -84,10 +84,10 @@
     finish(std::move(result));
 }
 
-// A version above the base refuses the edit wherever it may still appear. When so many edits followed
-// that an own acceptance could be forgotten, nothing is certain.
+// A version above the base refuses the edit wherever it may still appear, also when the replica misses
+// later records. When so many edits followed that an own acceptance could be forgotten, nothing is certain.
 bool edit_publisher::stale_for_certain(const table_replica& replica) const {
-    if (!replica.complete() || replica.version() <= edit_.base_version()) {
+    if (replica.version() <= edit_.base_version()) {
         return false;
     }
     const auto& recent = replica.recent_edits();
