--- a/servers/health/target_judge.cpp
+++ b/servers/health/target_judge.cpp
@@ -14,7 +14,8 @@
 constexpr std::chrono::seconds baseline_lifetime{5};  // Digests arrive each second.
 constexpr double suspicious_from = 0.3;
 constexpr double highest_badness = 8.0;
-constexpr double noise = 0.05;  // Below it, the sums of a healthy target are reported as 0.
+constexpr double unconfirmed = 0.99;  // Reported while the evidence does not yet ask for ejection.
+constexpr double noise = 0.05;        // Below it, the sums of a healthy target are reported as 0.
 
 constexpr double least_failure_rate = 0.02;  // Scattered errors that count as normal.
 constexpr double least_suspect_rate = 0.2;   // A gray target fails at least this share of its work.
@@ -43,8 +44,14 @@
            outcome == work_outcome::crash;
 }
 
-double spread_of(const service_baseline& baseline) {
-    return std::max(baseline.log_spread, least_spread);
+// Adds one request to the sum since some start and keeps the largest sum, which is the CUSUM statistic.
+template <typename Evidence>
+void add_to_largest(Evidence& best, Evidence& current, double ratio, double weight) {
+    current.sum += ratio * weight;
+    current.bad += ratio > 0 ? 1 : 0;
+    if (current.sum > best.sum) {
+        best = current;
+    }
 }
 
 }  // namespace
@@ -168,14 +175,25 @@
 }
 
 target_judge::active_baseline target_judge::baseline_now() const {
+    active_baseline result;
     if (others_.targets > 0 && clock_.now() - others_at_ <= baseline_lifetime) {
-        return {.values = others_, .own_past = false, .latency_known = true};
+        result.values = others_;
+        result.latency_known = true;
+    } else {
+        result.values = {.targets = 0,
+                         .failure_rate = past_.failure_rate,
+                         .log_latency = past_.mean,
+                         .log_spread = std::sqrt(std::max(past_.variance, 0.0))};
+        result.own_past = true;
+        result.latency_known = past_.count >= past_needed;
     }
-    const service_baseline own{.targets = 0,
-                               .failure_rate = past_.failure_rate,
-                               .log_latency = past_.mean,
-                               .log_spread = std::sqrt(std::max(past_.variance, 0.0))};
-    return {.values = own, .own_past = true, .latency_known = past_.count >= past_needed};
+    const double usual = std::clamp(result.values.failure_rate, least_failure_rate, 0.8);
+    const double suspect = std::clamp(usual * suspect_factor, least_suspect_rate, highest_suspect_rate);
+    result.ratio_of_failure = std::log(suspect / usual);
+    result.ratio_of_success = std::log((1 - suspect) / (1 - usual));
+    result.spread = std::max(result.values.log_spread, least_spread);
+    result.slowdown = std::max(slowdown_in_spreads * result.spread, least_slowdown);
+    return result;
 }
 
 double target_judge::age_weight(const record& item) const {
@@ -186,13 +204,12 @@
     return std::exp2(-age / options_.half_life);
 }
 
-double target_judge::failure_ratio(const record& item, const active_baseline& baseline) const {
-    if (!item.outcome || item.outcome == work_outcome::cancelled || (item.withheld && crashes_.withholds())) {
+double target_judge::failure_ratio(const record& item, const active_baseline& baseline,
+                                   bool withholds) const {
+    if (!item.outcome || item.outcome == work_outcome::cancelled || (item.withheld && withholds)) {
         return 0;
     }
-    const double usual = std::clamp(baseline.values.failure_rate, least_failure_rate, 0.8);
-    const double suspect = std::clamp(usual * suspect_factor, least_suspect_rate, highest_suspect_rate);
-    return is_failure(*item.outcome) ? std::log(suspect / usual) : std::log((1 - suspect) / (1 - usual));
+    return is_failure(*item.outcome) ? baseline.ratio_of_failure : baseline.ratio_of_success;
 }
 
 double target_judge::log_latency_of(const record& item) const {
@@ -209,10 +226,9 @@
     if (!measured && !unfinished) {
         return 0;  // Errors are often faster than answers.
     }
-    const double spread = spread_of(baseline.values);
-    const double slowdown = std::max(slowdown_in_spreads * spread, least_slowdown);
+    const double spread = baseline.spread;
     const double distance = log_latency_of(item) - baseline.values.log_latency;
-    const double ratio = slowdown / (spread * spread) * (distance - slowdown / 2);
+    const double ratio = baseline.slowdown / (spread * spread) * (distance - baseline.slowdown / 2);
     if (measured) {
         return std::clamp(ratio, lowest_ratio, highest_ratio);
     }
@@ -221,53 +237,57 @@
                                                : std::clamp(ratio, 0.0, highest_overdue_ratio);
 }
 
-// The largest sum over the requests since some start, which is the CUSUM statistic.
-template <typename Ratio>
-target_judge::evidence target_judge::largest_sum(Ratio ratio) const {
-    evidence best;
-    evidence current;
+target_judge::window_evidence target_judge::weigh_window(const active_baseline& baseline) const {
+    window_evidence found;
+    evidence failures;
+    evidence latency;
+    const bool withholds = crashes_.withholds();
     for (auto item = window_.rbegin(); item != window_.rend(); ++item) {
-        const double value = ratio(*item);
-        current.sum += value * age_weight(*item);
-        current.bad += value > 0 ? 1 : 0;
-        if (current.sum > best.sum) {
-            best = current;
-        }
+        const double weight = age_weight(*item);
+        const double slow = latency_ratio(*item, baseline);
+        add_to_largest(found.failures, failures, failure_ratio(*item, baseline, withholds), weight);
+        add_to_largest(found.latency, latency, slow, weight);
+        found.overdue += !item->outcome && slow > 0 ? 1 : 0;
     }
-    return best;
+    return found;
 }
 
-void target_judge::refresh() {
-    const active_baseline baseline = baseline_now();
-    const evidence failures = largest_sum([&](const record& item) { return failure_ratio(item, baseline); });
-    const evidence latency = largest_sum([&](const record& item) { return latency_ratio(item, baseline); });
+judgement target_judge::judgement_of(const window_evidence& found, const active_baseline& baseline) const {
     const std::size_t least = std::min<std::size_t>(options_.least_evidence, options_.slots);
-    const auto badness_of = [&](const evidence& found) {
-        const double value = found.sum / options_.threshold;
-        return found.bad >= least ? value : std::min(value, 0.99);
+    const auto badness_of = [&](const evidence& part) {
+        const double value = part.sum / options_.threshold;
+        return part.bad >= least ? value : std::min(value, unconfirmed);
     };
-    double badness = std::min(std::max(badness_of(failures), badness_of(latency)), highest_badness);
-    badness = badness < noise ? 0.0 : badness;
+    const double badness =
+        std::min(std::max(badness_of(found.failures), badness_of(found.latency)), highest_badness);
+    judgement result{.badness = badness < noise ? 0.0 : badness,
+                     .failure_evidence = found.failures.sum,
+                     .latency_evidence = found.latency.sum,
+                     .threshold = options_.threshold,
+                     .requests = window_.size(),
+                     .overdue = found.overdue,
+                     .baseline = baseline.values,
+                     .own_past = baseline.own_past};
+    const bool withholds = crashes_.withholds();
+    for (const record& item : window_) {
+        result.failures += item.outcome && is_failure(*item.outcome) ? 1 : 0;
+        result.withheld_crashes += item.withheld && withholds ? 1 : 0;
+    }
+    return result;
+}
+
+void target_judge::refresh() {
+    const active_baseline baseline = baseline_now();
+    judgement next = judgement_of(weigh_window(baseline), baseline);
     const steady_time now = clock_.now();
-    if (badness < 1.0) {
+    if (next.badness < 1.0) {
         enough_since_.reset();
     } else if (!enough_since_) {
         enough_since_ = now;
     }
-    const bool confirming = enough_since_ && now - *enough_since_ < options_.confirmation;
-    latest_ = {.badness = confirming ? 0.99 : badness,
-               .failure_evidence = failures.sum,
-               .latency_evidence = latency.sum,
-               .threshold = options_.threshold,
-               .requests = window_.size(),
-               .baseline = baseline.values,
-               .own_past = baseline.own_past,
-               .confirming = confirming};
-    for (const record& item : window_) {
-        latest_.failures += item.outcome && is_failure(*item.outcome) ? 1 : 0;
-        latest_.overdue += !item.outcome && latency_ratio(item, baseline) > 0 ? 1 : 0;
-        latest_.withheld_crashes += item.withheld && crashes_.withholds() ? 1 : 0;
-    }
+    next.confirming = enough_since_ && now - *enough_since_ < options_.confirmation;
+    next.badness = next.confirming ? unconfirmed : next.badness;
+    latest_ = std::move(next);
 }
 
 }  // namespace teaselpitch
--- a/servers/health/target_judge.h
+++ b/servers/health/target_judge.h
@@ -91,22 +91,33 @@
         double sum = 0;
         std::size_t bad = 0;
     };
+    // The baseline in use and the log likelihood ratios that follow from it.
     struct active_baseline {
         service_baseline values{};
         bool own_past = false;
         bool latency_known = false;
+        double ratio_of_failure = 0;
+        double ratio_of_success = 0;
+        double spread = 1;
+        double slowdown = 1;
+    };
+    struct window_evidence {
+        evidence failures{};
+        evidence latency{};
+        std::size_t overdue = 0;
     };
 
     record* find(std::uint64_t request);
     void learn(const record& ended);
     void refresh();
     [[nodiscard]] active_baseline baseline_now() const;
+    [[nodiscard]] window_evidence weigh_window(const active_baseline& baseline) const;
+    [[nodiscard]] judgement judgement_of(const window_evidence& found, const active_baseline& baseline) const;
     [[nodiscard]] double age_weight(const record& item) const;
-    [[nodiscard]] double failure_ratio(const record& item, const active_baseline& baseline) const;
+    [[nodiscard]] double failure_ratio(const record& item, const active_baseline& baseline,
+                                       bool withholds) const;
     [[nodiscard]] double latency_ratio(const record& item, const active_baseline& baseline) const;
     [[nodiscard]] double log_latency_of(const record& item) const;
-    template <typename Ratio>
-    [[nodiscard]] evidence largest_sum(Ratio ratio) const;
 
     const time_source& clock_;
     const std::string target_;
