--- a/main/ctl/node_wait.cpp
+++ b/main/ctl/node_wait.cpp
@@ -41,8 +41,8 @@
 private:
     awaitable<void> ask(std::string address) {
         const auto parsed = parse_endpoint(address);
-        if (!parsed) {
-            failures_[address] = "not ADDRESS:PORT";
+        if (!parsed.ok()) {
+            failures_[address] = std::string(parsed.status().message());
             co_return;
         }
         const auto answer = co_await log_http::call(*parsed, {"GET", "/v1/status", "", ""}, answer_timeout);
--- a/main/ctl/table_source.cpp
+++ b/main/ctl/table_source.cpp
@@ -4,8 +4,6 @@
 #include <fstream>
 #include <sstream>
 
-#include "drivers/log/endpoint_text.h"
-
 namespace teaselpitch {
 
 void fail(ctl_context& context, int status, const std::string& reason) {
@@ -15,7 +13,7 @@
 
 std::unique_ptr<log_session> open_session(ctl_context& context, std::set<std::uint64_t> keep) {
     const auto address = parse_endpoint(context.log_address);
-    if (!address) {
+    if (!address.ok()) {
         fail(context, exit_status::bad_usage,
              context.log_address.empty() ? "--log ADDRESS:PORT is required"
                                          : "--log " + context.log_address + " is not ADDRESS:PORT");
--- a/tests/drivers/log/log_client_test.cpp
+++ b/tests/drivers/log/log_client_test.cpp
@@ -11,7 +11,6 @@
 #include <tuple>
 #include <vector>
 
-#include "drivers/log/endpoint_text.h"
 #include "drivers/log/http_call.h"
 #include "tests/drivers/log/running_log.h"
 
