Add the stand-in target and tests of streaming, drains and broken answers

Cause: fault runs need a target whose gray faults can be steered, and the drivers had no test of large bodies, drains, aborts and unread bodies.

Change: standin-target with faults, an execution log and announcements. Three faults that the new tests found are fixed: a drain closed a connection whose last answer had just promised to keep it; a caller who had left was offered Connection: keep-alive; a large sized body delayed the handler until its first byte.

--- a/drivers/http/caller_body.cpp
+++ b/drivers/http/caller_body.cpp
@@ -79,11 +79,11 @@
 }
 
 awaitable<absl::Status> caller_body::prefetch(std::size_t limit) {
-    if (continue_due_) {
+    const auto length = parser_.content_length();
+    const bool whole = length.has_value();
+    if (continue_due_ || (whole && *length > limit)) {
         co_return absl::OkStatus();  // The handler may refuse before the caller sends its body.
     }
-    const auto length = parser_.content_length();
-    const bool whole = length.has_value() && *length <= limit;
     std::string data(whole ? static_cast<std::size_t>(*length) : limit, '\0');
     std::size_t filled = 0;
     while (!parser_.is_done() && filled < data.size()) {
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -209,6 +209,7 @@
     caller_writer writer(socket_, write_deadline_, settings);
     bool caller_gone = false;
     exchange_result result = co_await run_exchange(head, body, writer, caller_gone);
+    keep_alive_ = keep_alive_ && !caller_gone;
     if (caller_gone && result.error == error_kind::cancelled && !body.complete()) {
         result.error = error_kind::malformed_request;
         result.detail = "the caller closed its connection before the body was read";
@@ -258,7 +259,8 @@
             writer.abort();
             co_return false;
         }
-        co_return writer.keep_alive() && !context_->draining && co_await body.discard_rest(discard_limit);
+        // An answer that promised to keep the connection is kept to, also when a drain has started since.
+        co_return writer.keep_alive() && co_await body.discard_rest(discard_limit);
     }
     exchange_result failure = result;
     if (failure.error == error_kind::none) {
--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -66,7 +66,9 @@
         add_field(text, "Content-Length", std::to_string(*head.content_length));
     }
     add_field(text, "Teaselpitch-Execution", to_string(execution_state::run));
-    add_field(text, "Teaselpitch-Request-Id", settings_.request_id);
+    if (!settings_.request_id.empty()) {
+        add_field(text, "Teaselpitch-Request-Id", settings_.request_id);
+    }
     if (!head.target.empty()) {
         add_field(text, "Teaselpitch-Target", head.target);
     }
--- /dev/null
+++ b/main/standin_target/standin_work.cpp
@@ -0,0 +1,275 @@
+#include "main/standin_target/standin_work.h"
+
+#include <xxhash.h>
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <charconv>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "drivers/http/asio_types.h"
+#include "drivers/http/error_reply.h"
+#include "main/standin_target/answer_pattern.h"
+#include "main/standin_target/standin_target.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::size_t piece_size = std::size_t{64} * 1024;
+/// A worker notices after this time that its request was cancelled.
+constexpr std::chrono::milliseconds worker_slice{5};
+constexpr std::size_t max_control_body = std::size_t{64} * 1024;
+
+std::optional<std::uint64_t> number_of(const std::map<std::string, std::string>& query, const char* name) {
+    const auto found = query.find(name);
+    std::uint64_t value = 0;
+    if (found == query.end() ||
+        std::from_chars(found->second.data(), found->second.data() + found->second.size(), value).ec !=
+            std::errc{}) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+exchange_result answered() {
+    exchange_result result;
+    result.head_written = true;
+    return result;
+}
+
+/// Releases a slot at the end of a scope, also when the coroutine is cancelled.
+class slot_use {
+public:
+    explicit slot_use(std::uint32_t& running) : running_(running) { ++running_; }
+    slot_use(const slot_use&) = delete;
+    slot_use& operator=(const slot_use&) = delete;
+    ~slot_use() { --running_; }
+
+private:
+    std::uint32_t& running_;
+};
+
+/// One entry of the execution log; an execution that ends by cancellation is recorded as cancelled.
+class execution_record {
+public:
+    execution_record(execution_log& log, std::uint64_t sequence) : log_(log), sequence_(sequence) {}
+    execution_record(const execution_record&) = delete;
+    execution_record& operator=(const execution_record&) = delete;
+    ~execution_record() { log_.finish(sequence_, completed ? "completed" : "cancelled"); }
+
+    bool completed = false;
+
+private:
+    execution_log& log_;
+    std::uint64_t sequence_;
+};
+
+}  // namespace
+
+struct standin_work::request {
+    const request_head& head;
+    body_reader& body;
+    response_writer& writer;
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::string call_id;
+    std::uint64_t body_bytes = 0;
+    std::uint64_t body_digest = 0;
+
+    awaitable<exchange_result> reply(unsigned status, std::string type, std::string text,
+                                     std::vector<header_field> headers);
+    awaitable<bool> read_body();
+};
+
+awaitable<exchange_result> standin_work::request::reply(unsigned status, std::string type, std::string text,
+                                                        std::vector<header_field> headers) {
+    response_head answer;
+    answer.status = status;
+    answer.reason = std::string(http::obsolete_reason(static_cast<http::status>(status)));
+    answer.headers = std::move(headers);
+    answer.headers.push_back({"Content-Type", std::move(type)});
+    answer.content_length = text.size();
+    answer.has_body = head.method != "HEAD";
+    absl::Status written = co_await writer.write_head(answer);
+    if (written.ok() && answer.has_body) {
+        written = co_await writer.write_body(std::as_bytes(std::span<const char>(text)));
+    }
+    if (written.ok()) {
+        co_await writer.finish();
+    }
+    co_return answered();
+}
+
+awaitable<bool> standin_work::request::read_body() {
+    std::vector<std::byte> piece(piece_size);
+    const std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> state(XXH3_createState(),
+                                                                                XXH3_freeState);
+    XXH3_64bits_reset(state.get());
+    for (;;) {
+        const absl::StatusOr<std::size_t> size = co_await body.read_some(piece);
+        if (!size.ok()) {
+            co_return false;
+        }
+        if (*size == 0) {
+            body_digest = XXH3_64bits_digest(state.get());
+            co_return true;
+        }
+        XXH3_64bits_update(state.get(), piece.data(), *size);
+        body_bytes += *size;
+    }
+}
+
+awaitable<exchange_result> standin_work::exchange(const request_head& head, body_reader& body,
+                                                  response_writer& writer) {
+    const std::size_t mark = std::min(head.path.find('?'), head.path.size());
+    request work{head, body, writer, head.path.substr(0, mark), {}, {}};
+    if (mark < head.path.size()) {
+        work.query = parse_query(std::string_view(head.path).substr(mark + 1));
+    }
+    work.call_id = find_header(head.headers, "X-Call-Id").value_or("");
+    if (work.path.starts_with("/_") && !(silent && work.path == "/_health")) {
+        co_return co_await answer_control(work);
+    }
+    co_return co_await answer_work(work);
+}
+
+awaitable<exchange_result> standin_work::answer_control(request& work) {
+    admin_request request;
+    request.method = work.head.method;
+    request.path = work.path;
+    request.query = work.query;
+    std::vector<std::byte> piece(piece_size);
+    std::size_t size = 1;
+    while (size > 0 && request.body.size() < max_control_body) {
+        const absl::StatusOr<std::size_t> read = co_await work.body.read_some(piece);
+        if (!read.ok()) {
+            co_return failed_exchange(error_kind::malformed_request, "the body could not be read");
+        }
+        size = *read;
+        request.body.append(reinterpret_cast<const char*>(piece.data()), size);
+    }
+    admin_response response = co_await target_.control(std::move(request));
+    std::vector<header_field> headers;
+    co_return co_await work.reply(response.status, response.content_type, response.body, headers);
+}
+
+awaitable<exchange_result> standin_work::answer_work(request& work) {
+    const auto marker = find_header(work.head.headers, "X-Crash-Marker");
+    if (marker.has_value() && !target_.faults.crash_marker.empty() &&
+        *marker == target_.faults.crash_marker) {
+        target_.executions.start(work.call_id, work.head.idempotency_key, target_.incarnation);
+        // Not from here: the crash ends this coroutine.
+        net::post(co_await net::this_coro::executor, [&target = target_] { target.crash(); });
+        co_await wait(std::chrono::hours(1));
+        co_return failed_exchange(error_kind::internal, "crashed");
+    }
+    if (target_.running >= target_.options.slots && !silent) {
+        std::vector<header_field> headers;
+        headers.push_back({"X-Shed", "1"});
+        co_return co_await work.reply(503, "text/plain", "no free slot\n", std::move(headers));
+    }
+    const slot_use slot(target_.running);
+    if (!co_await work.read_body()) {
+        co_return failed_exchange(error_kind::malformed_request, "the body ended early");
+    }
+    co_return co_await run_work(work);
+}
+
+awaitable<exchange_result> standin_work::run_work(request& work) {
+    execution_record record(
+        target_.executions,
+        target_.executions.start(work.call_id, work.head.idempotency_key, target_.incarnation));
+    const bool faulty = target_.faults.active(target_.clock.now());
+    if (silent || (target_.faults.hang && faulty)) {
+        co_await wait(std::chrono::hours(1));
+    }
+    std::optional<std::chrono::milliseconds> asked;
+    if (const auto given = number_of(work.query, "ms")) {
+        asked = std::chrono::milliseconds(*given);
+    }
+    co_await wait(target_.work_time(asked));
+    exchange_result result;
+    if (target_.draw_error()) {
+        std::vector<header_field> headers;
+        headers.push_back({"X-Call-Id", work.call_id});
+        result = co_await work.reply(500, "text/plain", "injected error\n", std::move(headers));
+    } else {
+        result = co_await write_answer(work);
+    }
+    // Work whose answer was cut on purpose has run.
+    record.completed = result.error == error_kind::none || target_.faults.break_answers;
+    co_return result;
+}
+
+awaitable<void> standin_work::wait(std::chrono::nanoseconds time) {
+    net::steady_timer timer(co_await net::this_coro::executor, time);
+    if (target_.options.work_threads == 0 || time >= std::chrono::hours(1)) {
+        co_await timer.async_wait(net::use_awaitable);
+        co_return;
+    }
+    // A worker is held for the whole time; when all are busy, work queues.
+    const auto abandoned = std::make_shared<std::atomic<bool>>(false);
+    const std::shared_ptr<void> guard(nullptr, [abandoned](void*) { *abandoned = true; });
+    const auto done =
+        std::make_shared<net::steady_timer>(timer.get_executor(), net::steady_timer::time_point::max());
+    net::post(target_.workers, [time, abandoned, done] {
+        const auto end = std::chrono::steady_clock::now() + time;
+        for (auto now = std::chrono::steady_clock::now(); now < end && !*abandoned;
+             now = std::chrono::steady_clock::now()) {
+            std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(worker_slice, end - now));
+        }
+        net::post(done->get_executor(), [done] { done->cancel(); });
+    });
+    co_await done->async_wait(tuple_awaitable);
+}
+
+awaitable<exchange_result> standin_work::write_answer(request& work) {
+    std::vector<header_field> headers;
+    headers.push_back({"X-Call-Id", work.call_id});
+    headers.push_back({"X-Body-Digest", absl::StrCat(absl::Hex(work.body_digest, absl::kZeroPad16))});
+    headers.push_back({"X-Target", target_.options.name});
+    const std::string echo = "{\"method\":" + json_quote(work.head.method) +
+                             ",\"path\":" + json_quote(work.head.path) +
+                             ",\"call_id\":" + json_quote(work.call_id) + ",\"body_digest\":\"" +
+                             headers[1].value + "\",\"body_bytes\":" + std::to_string(work.body_bytes) +
+                             ",\"target\":" + json_quote(target_.options.name) +
+                             ",\"incarnation\":" + std::to_string(target_.incarnation) + "}\n";
+    const std::uint64_t size = number_of(work.query, "bytes").value_or(echo.size());
+    const bool patterned = work.query.contains("bytes");
+    const bool cut = target_.faults.break_answers && target_.faults.active(target_.clock.now());
+    if (!patterned && !cut) {
+        co_return co_await work.reply(200, "application/json", echo, std::move(headers));
+    }
+    response_head answer;
+    answer.status = 200;
+    answer.reason = "OK";
+    answer.headers = std::move(headers);
+    answer.content_length = size;
+    answer.has_body = work.head.method != "HEAD";
+    absl::Status status = co_await work.writer.write_head(answer);
+    const std::uint64_t end = !answer.has_body ? 0 : cut ? size / 2 : size;
+    for (std::uint64_t sent = 0; status.ok() && sent < end;) {
+        const std::size_t count = std::min<std::uint64_t>(piece_size, end - sent);
+        const std::string text =
+            patterned ? answer_pattern(work.call_id, sent, count) : echo.substr(sent, count);
+        status = co_await work.writer.write_body(std::as_bytes(std::span<const char>(text)));
+        sent += count;
+    }
+    if (cut) {
+        work.writer.abort();
+    } else if (status.ok()) {
+        status = co_await work.writer.finish();
+    }
+    exchange_result result = answered();
+    if (!status.ok() || cut) {
+        result.error = error_kind::answer_broken;
+    }
+    co_return result;
+}
+
+}  // namespace teaselpitch
