Let path hints add to path evidence only

Cause: with work spread over all zones, nodes ejected healthy targets because the hints of one cut-off zone topped up a gate verdict of 0.5 to 0.99, which is noise. Change: the combined badness is the larger of the gate's verdict and path evidence plus hints; a recent answer to this node outweighs hints whatever the verdict. Adds a test for the case.

--- a/servers/routing/target_evidence.cpp
+++ b/servers/routing/target_evidence.cpp
@@ -15,7 +15,6 @@
 constexpr std::chrono::milliseconds half_life{2'000};
 constexpr std::chrono::milliseconds answer_proves_for{1'000};
 constexpr double zones_to_eject = 2.0;  // Hints of one zone alone never eject: that zone may be cut off.
-constexpr double own_doubt = 0.25;      // Below it, recent answers to this node outweigh hints.
 constexpr std::size_t most_hints = 32;
 
 }  // namespace
@@ -59,12 +58,13 @@
         result.hints += badness / zones_to_eject;
         result.agreeing_zones += badness >= 1.0 ? 1 : 0;
     }
-    const double own = std::max(result.gate, result.path);
+    // An answer proves the path, so it outweighs what others say about theirs.
     const bool answers_arrive = answered_at_ != steady_time{} && now - answered_at_ < answer_proves_for;
-    if (answers_arrive && own < own_doubt) {
+    if (answers_arrive) {
         result.hints = 0;
     }
-    result.total = own + result.hints;
+    // Hints are about paths and add to path evidence only; they do not confirm a gate's verdict.
+    result.total = std::max(result.gate, result.path + result.hints);
     return result;
 }
 
--- a/tests/servers/routing/ejector_test.cpp
+++ b/tests/servers/routing/ejector_test.cpp
@@ -129,6 +129,18 @@
     BOOST_TEST(f.out() == "t0 ");
 }
 
+// Guards against a healthy target whose small gate verdict, which is noise, is topped up by the path
+// hints of a zone that is cut off.
+BOOST_AUTO_TEST_CASE(hints_do_not_confirm_a_gate_verdict) {
+    ejector_fixture f;
+    f.subject.on_gate_verdict("t0", 0.9, false);
+    f.subject.on_hint("t0", "n1", "z1", 5.0);
+    BOOST_TEST(f.out().empty());
+    f.subject.on_node_path("n0", 0.6);
+    f.subject.on_hint("t0", "n4", "z1", 5.0);
+    BOOST_TEST(f.out() == "t0 ");
+}
+
 // Guards against a dead path that is held against targets of other nodes.
 BOOST_AUTO_TEST_CASE(node_path_ejects_the_targets_of_that_node) {
     ejector_fixture f;
