Announce a verdict at once to the nodes that use the target

Cause: nodes heard of a verdict with their next answer or with the gossip of the next second. Change: verdict_announcer at the gate names the recent users of a target when its badness crosses 1.

--- a/main/bench_health/fleet.cpp
+++ b/main/bench_health/fleet.cpp
@@ -35,7 +35,8 @@
                                .slots = options_.slots,
                                .ready_since = clock_.now() - 1h});
         gates_.push_back({.judge = std::make_unique<target_judge>(
-                              clock_, identities.back().name, options_for(options_.policy, options_.slots))});
+                              clock_, identities.back().name, options_for(options_.policy, options_.slots)),
+                          .announcer = std::make_unique<verdict_announcer>(clock_, announcer_options{})});
     }
     baseline_.update(identities);
     for (std::size_t i = 0; i < options_.targets; ++i) {
--- a/main/bench_health/fleet.h
+++ b/main/bench_health/fleet.h
@@ -18,6 +18,7 @@
 #include "servers/health/path_judge.h"
 #include "servers/health/service_digest.h"
 #include "servers/health/target_judge.h"
+#include "servers/health/verdict_announcer.h"
 #include "servers/routing/ejector.h"
 #include "servers/routing/retry_policy.h"
 #include "servers/routing/target_chooser.h"
@@ -82,6 +83,7 @@
     };
     struct gate {
         std::unique_ptr<target_judge> judge;
+        std::unique_ptr<verdict_announcer> announcer;
         std::map<std::uint64_t, running_call> running{};
         std::deque<waiting_call> waiting{};
         std::uint64_t next_request = 1;
@@ -135,6 +137,8 @@
     void tick_gate(std::size_t target);
     void push_summary(std::size_t target);
     void push_verdict(std::size_t target);
+    void announce_verdict(std::size_t target);
+    void tell_verdict(std::size_t target, std::size_t to, double badness);
     void push_hints(std::size_t from);
     void tick_node(std::size_t index);
     void take(std::size_t index, const std::vector<ejector_decision>& decisions);
--- a/main/bench_health/fleet_calls.cpp
+++ b/main/bench_health/fleet_calls.cpp
@@ -87,6 +87,7 @@
 
 void fleet::admit(const call_ptr& subject, std::size_t target) {
     gate& own = gates_[target];
+    own.announcer->on_request(nodes_[subject->node].name);
     if (!options_.baseline && nodes_[target].quarantine->is_quarantined(subject->fingerprint)) {
         result_.quarantined += subject->poison ? 0 : 1;
         answer(subject, target,
@@ -143,6 +144,7 @@
             nodes_[target].quarantine->on_success(run.subject->fingerprint);
         }
     }
+    announce_verdict(target);
     answer(run.subject, target, result);
     start_waiting(target);
 }
--- a/main/bench_health/fleet_exchange.cpp
+++ b/main/bench_health/fleet_exchange.cpp
@@ -29,6 +29,7 @@
     if (own.judge->suspicious() && clock_.now() - own.pushed_at >= push_period) {
         push_summary(target);
     }
+    announce_verdict(target);
     start_waiting(target);
 }
 
@@ -51,14 +52,24 @@
 void fleet::push_verdict(std::size_t target) {
     const double badness = gates_[target].judge->badness();
     for (std::size_t to = 0; to < nodes_.size(); ++to) {
-        if (!faults_.delivers(zone_of(target), nodes_[to].zone)) {
-            continue;
-        }
-        events_.after(delay(target, to), [this, target, to, badness] {
-            take(to,
-                 nodes_[to].views->on_gate_verdict(registered_[target].identity.name, badness, to == target));
-        });
+        tell_verdict(target, to, badness);
+    }
+}
+
+void fleet::announce_verdict(std::size_t target) {
+    const double badness = gates_[target].judge->badness();
+    for (const std::string& name : gates_[target].announcer->on_badness(badness)) {
+        tell_verdict(target, std::stoul(name.substr(1)), badness);
+    }
+}
+
+void fleet::tell_verdict(std::size_t target, std::size_t to, double badness) {
+    if (!faults_.delivers(zone_of(target), nodes_[to].zone)) {
+        return;
     }
+    events_.after(delay(target, to), [this, target, to, badness] {
+        take(to, nodes_[to].views->on_gate_verdict(registered_[target].identity.name, badness, to == target));
+    });
 }
 
 void fleet::push_hints(std::size_t from) {
