Answer a suspicious summary with the receiver's own summary

Cause: with all targets 3 times slower, the fast policy ejected healthy targets before the digests of the others, sent once a second, showed the general slow-down.

--- a/main/bench_health/fleet.h
+++ b/main/bench_health/fleet.h
@@ -136,6 +136,7 @@
     [[nodiscard]] load_report report_of(std::size_t target) const;
     void tick_gate(std::size_t target);
     void push_summary(std::size_t target);
+    void send_summary(std::size_t target, std::size_t to);
     void push_verdict(std::size_t target);
     void announce_verdict(std::size_t target);
     void tell_verdict(std::size_t target, std::size_t to, double badness);
--- a/main/bench_health/fleet_exchange.cpp
+++ b/main/bench_health/fleet_exchange.cpp
@@ -28,25 +28,34 @@
     own.judge->on_tick();
     if (own.judge->suspicious() && clock_.now() - own.pushed_at >= push_period) {
         push_summary(target);
+        // A gate that receives a suspicious summary answers with its own.
+        for (std::size_t other = 0; other < gates_.size(); ++other) {
+            if (other != target && faults_.delivers(zone_of(target), zone_of(other))) {
+                events_.after(delay(target, other), [this, other, target] { send_summary(other, target); });
+            }
+        }
     }
     announce_verdict(target);
     start_waiting(target);
 }
 
 void fleet::push_summary(std::size_t target) {
-    gate& own = gates_[target];
-    own.pushed_at = clock_.now();
-    const std::vector<target_summary> summaries{own.judge->summary()};
-    const std::uint64_t sequence = ++own.sequence;
+    gates_[target].pushed_at = clock_.now();
     for (std::size_t to = 0; to < nodes_.size(); ++to) {
-        if (!faults_.delivers(zone_of(target), nodes_[to].zone)) {
-            continue;
-        }
-        events_.after(delay(target, to), [this, target, to, sequence, summaries] {
-            nodes_[to].digest->on_summaries(nodes_[target].name, sequence, summaries);
-            gates_[to].judge->on_baseline(nodes_[to].digest->baseline_without(registered_[to].identity.name));
-        });
+        send_summary(target, to);
+    }
+}
+
+void fleet::send_summary(std::size_t target, std::size_t to) {
+    if (!faults_.delivers(zone_of(target), nodes_[to].zone)) {
+        return;
     }
+    gate& own = gates_[target];
+    const std::vector<target_summary> summaries{own.judge->summary()};
+    events_.after(delay(target, to), [this, target, to, sequence = ++own.sequence, summaries] {
+        nodes_[to].digest->on_summaries(nodes_[target].name, sequence, summaries);
+        gates_[to].judge->on_baseline(nodes_[to].digest->baseline_without(registered_[to].identity.name));
+    });
 }
 
 void fleet::push_verdict(std::size_t target) {
--- a/servers/health/target_judge.h
+++ b/servers/health/target_judge.h
@@ -67,8 +67,8 @@
     [[nodiscard]] judgement explain() const;
     /// Recent work for the other gates of the service; includes overdue requests.
     [[nodiscard]] target_summary summary() const;
-    /// True when the summary should be sent at once, because the others need it to tell a general
-    /// slow-down from a fault of one target.
+    /// True when the summary should be sent at once, at most every 100 ms. Each gate that receives it
+    /// answers with its own summary, so that a general slow-down is known before the evidence suffices.
     [[nodiscard]] bool suspicious() const;
 
 private:
