--- a/servers/routing/ejector.cpp
+++ b/servers/routing/ejector.cpp
@@ -15,12 +15,16 @@
 
 constexpr double eject_at = 1.0;
 constexpr double trial_passes_below = 0.5;
-// A worse target displaces an ejected one only by this factor, so that two targets of nearly the same
-// severity do not swap places at the floor.
-constexpr double displacement_factor = 1.5;
+// Severities are compared in steps of this size, so that small differences between the verdicts that nodes
+// have seen do not make them eject different targets.
+constexpr double severity_step = 0.5;
 constexpr double rounding = 1e-9;
 constexpr std::chrono::seconds node_path_lifetime{4};  // The path judge renews its evidence each second.
 
+double severity_level(double badness) {
+    return std::floor(badness / severity_step) * severity_step;
+}
+
 bool is_out(target_state state, bool in_service) {
     return state == target_state::ejected || (state == target_state::trial && !in_service);
 }
@@ -219,23 +223,23 @@
     return result;
 }
 
-std::optional<ejector::candidate> ejector::as_candidate(entry& subject) const {
+std::optional<ejector::candidate> ejector::as_candidate(entry& subject) {
     const target_state state = subject.states.state();
     if (subject.target.lifecycle != target_lifecycle::ready || state == target_state::leaving) {
         return std::nullopt;
     }
     candidate result{.subject = &subject, .badness = badness_of(subject)};
-    const double badness = result.badness.total;
+    double severity = result.badness.total;
     if (state == target_state::ejected) {
-        result.severity = displacement_factor * std::max(badness, subject.frozen_severity);
+        // Evidence fades without work, but the target stays as bad as it was until a trial shows otherwise.
+        subject.frozen_severity = std::max(subject.frozen_severity, severity);
+        severity = subject.frozen_severity;
     } else if (state == target_state::trial && !subject.states.in_service()) {
-        const double rest = subject.frozen_severity * (1.0 - std::sqrt(subject.states.share()));
-        result.severity = displacement_factor * std::max(badness, rest);
-    } else if (badness >= eject_at) {
-        result.severity = badness;
-    } else {
+        severity = std::max(severity, subject.frozen_severity * (1.0 - std::sqrt(subject.states.share())));
+    } else if (severity < eject_at) {
         return std::nullopt;
     }
+    result.severity = severity_level(severity);
     return result;
 }
 
--- a/servers/routing/ejector.h
+++ b/servers/routing/ejector.h
@@ -80,9 +80,9 @@
 
 /// Decides for one node and one service which targets are ejected.
 ///
-/// The ejector acts on its own node's view only. It ejects in the order of severity, then target name,
-/// so that nodes with the same evidence eject the same targets, and never takes capacity in service
-/// below a floor. Leaving, cold-starting and ejected targets all count against the floor. When
+/// The ejector acts on its own node's view only. It ejects in the order of severity, in steps of 0.5, then
+/// target name, so that nodes with the same evidence eject the same targets, and never takes capacity in
+/// service below a floor. Leaving, cold-starting and ejected targets all count against the floor. When
 /// capacity falls for another reason, the least bad ejected targets are readmitted until it holds.
 /// Safe to use from several threads; the lock is held for microseconds.
 class ejector {
@@ -141,7 +141,7 @@
     [[nodiscard]] combined_badness badness_of(const entry& subject) const;
     [[nodiscard]] double full_capacity(const entry& subject) const;
     [[nodiscard]] std::vector<floor_status> floor_statuses() const;
-    [[nodiscard]] std::optional<candidate> as_candidate(entry& subject) const;
+    std::optional<candidate> as_candidate(entry& subject);
     void select_removable(std::vector<candidate>& candidates) const;
     void advance_states(decisions& out);
     void evaluate(decisions& out);
