Measure general errors and a general hang

Cause: the benchmark covered a general slow-down only. Change: two more conditions, all targets failing half of their work and all targets hanging.

--- a/main/bench_health/fault_model.cpp
+++ b/main/bench_health/fault_model.cpp
@@ -18,16 +18,18 @@
 constexpr double scattered_errors = 0.02;
 constexpr std::chrono::seconds flapping_period{5};
 
-constexpr std::array<std::string_view, 11> names{
-    "none",     "10 times slower", "half failing",   "hanging",          "partially reachable", "work wrong",
-    "flapping", "all 3x slower",   "all 10x slower", "crashing request", "one-way partition"};
+constexpr std::array<std::string_view, 13> names{
+    "none",        "10 times slower",  "half failing",     "hanging",        "partially reachable",
+    "work wrong",  "flapping",         "all 3x slower",    "all 10x slower", "all half failing",
+    "all hanging", "crashing request", "one-way partition"};
 constexpr std::array single{fault_kind::ten_times_slower,
                             fault_kind::half_failing,
                             fault_kind::hanging,
                             fault_kind::partially_reachable,
                             fault_kind::probes_right_work_wrong,
                             fault_kind::flapping};
-constexpr std::array general{fault_kind::all_slower_3, fault_kind::all_slower_10,
+constexpr std::array general{fault_kind::all_slower_3,     fault_kind::all_slower_10,
+                             fault_kind::all_half_failing, fault_kind::all_hanging,
                              fault_kind::crashing_request, fault_kind::one_way_partition};
 
 }  // namespace
@@ -63,7 +65,11 @@
     const bool half = uniform(random_) < 0.5;
     result.time = std::chrono::duration_cast<std::chrono::nanoseconds>(
         std::chrono::duration<double, std::milli>(median_ms * factor));
-    if (active() && target == faulty_target && (fault_ != fault_kind::half_failing || half)) {
+    if (active() && fault_ == fault_kind::all_half_failing) {
+        result.fails = half;
+    } else if (active() && fault_ == fault_kind::all_hanging) {
+        result.hangs = true;
+    } else if (active() && target == faulty_target && (fault_ != fault_kind::half_failing || half)) {
         apply_fault(result);
     }
     return result;
--- a/main/bench_health/fault_model.h
+++ b/main/bench_health/fault_model.h
@@ -21,6 +21,8 @@
     flapping,                 ///< Fails all work for 5 s, works for 5 s, and so on.
     all_slower_3,             ///< All targets, at the same moment.
     all_slower_10,
+    all_half_failing,
+    all_hanging,
     crashing_request,   ///< One request crashes each target that runs it and is sent again.
     one_way_partition,  ///< Nothing from zone 1 arrives in zone 0; connections between them fail.
 };
--- a/main/bench_health/fleet_exchange.cpp
+++ b/main/bench_health/fleet_exchange.cpp
@@ -168,6 +168,8 @@
         case fault_kind::none:
         case fault_kind::all_slower_3:
         case fault_kind::all_slower_10:
+        case fault_kind::all_half_failing:
+        case fault_kind::all_hanging:
         case fault_kind::crashing_request:
             return false;
         default:
