--- a/tests/servers/admission/admission_queue_property_test.cpp
+++ b/tests/servers/admission/admission_queue_property_test.cpp
@@ -87,7 +87,7 @@
         if (running_.empty()) {
             return;
         }
-        const auto chosen = std::next(running_.begin(), value % running_.size());
+        const auto chosen = std::next(running_.begin(), static_cast<std::ptrdiff_t>(value % running_.size()));
         const ticket_id ticket = *chosen;
         running_.erase(chosen);
         apply((queue_.*end)(ticket));
@@ -97,7 +97,7 @@
         if (queued_.empty() || value % 2 == 0) {
             return end_running(value, &admission_queue::cancel);
         }
-        const auto chosen = std::next(queued_.begin(), value % queued_.size());
+        const auto chosen = std::next(queued_.begin(), static_cast<std::ptrdiff_t>(value % queued_.size()));
         const ticket_id ticket = *chosen;
         queued_.erase(chosen);
         apply(queue_.cancel(ticket));
--- /dev/null
+++ b/tests/servers/admission/deadline_test.cpp
@@ -0,0 +1,68 @@
+#include "servers/admission/deadline.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+namespace teaselpitch {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct timeout_case {
+    const char* text;
+    std::optional<std::chrono::milliseconds> value;
+};
+
+std::ostream& operator<<(std::ostream& out, const timeout_case& value) {
+    return out << value.text;
+}
+
+const timeout_case timeout_cases[] = {
+    {"250", 250ms},        {"1", 1ms},
+    {"99999999999", 1h},   {"", std::nullopt},
+    {"0", std::nullopt},   {"-5", std::nullopt},
+    {"12x", std::nullopt}, {" 12", std::nullopt},
+    {"1.5", std::nullopt}, {"99999999999999999999999", std::nullopt},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(deadlines)
+
+// Guards against a malformed timeout that is taken for a short or an endless one.
+BOOST_DATA_TEST_CASE(caller_timeouts, timeout_cases, sample) {
+    BOOST_TEST((parse_timeout(sample.text) == sample.value));
+}
+
+// Guards against a caller's timeout above the route's, and against time that is won on the way.
+BOOST_AUTO_TEST_CASE(time_only_shrinks_on_the_way) {
+    manual_time_source clock;
+    const steady_time arrival = clock.now();
+    BOOST_TEST((deadline_from(arrival, 5s, 2s) == arrival + 2s));
+    BOOST_TEST((deadline_from(arrival, 1s, 2s) == arrival + 1s));
+    BOOST_TEST((deadline_from(arrival, std::nullopt, 2s) == arrival + 2s));
+    const steady_time deadline = arrival + 100ms;
+    clock.advance(10ms);
+    const auto next = time_for_next_hop(clock, deadline);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST((*next < remaining_time(clock, deadline)));
+    BOOST_TEST((deadline_of_hop(clock, *next) < deadline));
+    BOOST_TEST(timeout_for_target(clock, deadline).value() == 90U);
+}
+
+// Guards against a request that is sent on, or to the target, when its time is over.
+BOOST_AUTO_TEST_CASE(nothing_travels_after_the_deadline) {
+    manual_time_source clock;
+    const steady_time deadline = clock.now() + 10ms;
+    clock.advance(9'500us);
+    BOOST_TEST(!time_for_next_hop(clock, deadline).has_value());
+    BOOST_TEST(!timeout_for_target(clock, deadline).has_value());
+    clock.advance(1s);
+    BOOST_TEST((remaining_time(clock, deadline) == 0us));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch
--- a/tests/servers/claims/slot_model.cpp
+++ b/tests/servers/claims/slot_model.cpp
@@ -223,10 +223,16 @@
 
 void slot_model::hand_over(node& holder, std::uint32_t choice) {
     node& successor = nodes_[choice % node_count];
-    if (&successor == &holder || !holder.holder->begin_hand_over()) {
+    holder.holder->begin_hand_over();
+    // Without an export the holder only waits for its running requests.
+    if (&successor == &holder || choice / 8 % 2 == 1) {
         return;
     }
-    wire::SlotClaims claims = *holder.holder->export_claims();
+    std::optional<wire::SlotClaims> exported = holder.holder->export_claims();
+    if (!exported) {
+        return;
+    }
+    wire::SlotClaims& claims = *exported;
     if (!scheme_.hands_over_claims) {
         claims.clear_claims();
     }
--- a/tests/servers/claims/slot_model_test.cpp
+++ b/tests/servers/claims/slot_model_test.cpp
@@ -4,7 +4,6 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
-#include <iostream>
 #include <ostream>
 #include <random>
 #include <string>
@@ -83,6 +82,39 @@
 
 constexpr std::size_t walk_steps = 800;
 
+std::uint64_t wanted_walks(std::uint64_t usual) {
+    const char* wanted = std::getenv("SLOT_WALKS");
+    return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
+struct broken_variant {
+    scheme variant;
+    std::uint64_t seed;
+};
+
+std::ostream& operator<<(std::ostream& out, const broken_variant& value) {
+    return out << value.variant.name;
+}
+
+scheme without(const char* name, bool scheme::*rule) {
+    scheme variant;
+    variant.name = name;
+    variant.*rule = false;
+    return variant;
+}
+
+// Three rules whose loss needs a rarer order of events are in slot_trace_test.cpp only.
+const std::vector<broken_variant> broken_variants{
+    {without("no initial wait", &scheme::waits_after_takeover), 3191},
+    {without("no freshness check", &scheme::checks_freshness), 30},
+    {without("promise while an append is unresolved", &scheme::registers_appends), 16221},
+    {without("first sends not distinguished", &scheme::distinguishes_first_sends), 242},
+    {without("first send without the slot's epoch", &scheme::wants_epoch_of_first_sends), 2947},
+    {without("renewal not announced", &scheme::announces_renewals), 3243},
+    {without("claims not handed over", &scheme::hands_over_claims), 742},
+    {without("waits not stretched", &scheme::stretches_waits), 65},
+};
+
 }  // namespace
 
 BOOST_TEST_GLOBAL_CONFIGURATION(fixed_seed);
@@ -106,8 +138,7 @@
 
 // Guards against the same with longer walks; the variable SLOT_WALKS of the environment runs more of them.
 BOOST_AUTO_TEST_CASE(long_walks_keep_the_properties) {
-    const char* wanted = std::getenv("SLOT_WALKS");
-    const std::uint64_t walks = wanted == nullptr ? 2'000 : std::strtoull(wanted, nullptr, 10);
+    const std::uint64_t walks = wanted_walks(2'000);
     walk_result total;
     for (std::uint64_t seed = 1; seed <= walks; ++seed) {
         const walk_result result = walk({}, seed, walk_steps);
@@ -125,46 +156,23 @@
     BOOST_TEST(total.epochs > 4 * walks);
 }
 
-// Guards against a model that cannot fail: each variant breaks one rule, and the walk of its seed shows it.
-struct broken_variant {
-    scheme variant;
-    std::uint64_t seed;
-};
-
-std::vector<broken_variant> broken_variants() {
-    return {
-        {{.name = "no initial wait", .waits_after_takeover = false}, 0},
-        {{.name = "no freshness check", .checks_freshness = false}, 0},
-        {{.name = "no look before the write", .looks_before_write = false}, 0},
-        {{.name = "promise while an append is unresolved", .registers_appends = false}, 0},
-        {{.name = "first sends not distinguished", .distinguishes_first_sends = false}, 0},
-        {{.name = "first send without the slot's epoch", .wants_epoch_of_first_sends = false}, 0},
-        {{.name = "renewal not announced", .announces_renewals = false}, 0},
-        {{.name = "claims not handed over", .hands_over_claims = false}, 0},
-        {{.name = "window not inherited", .inherits_window = false}, 0},
-        {{.name = "waits not stretched", .stretches_waits = false}, 0},
-        {{.name = "longest run not counted", .counts_longest_run = false}, 0},
-    };
+// Guards against a model that cannot fail: each variant breaks one rule, the walk of its seed shows that, and
+// the same walk keeps the properties with the rule.
+BOOST_DATA_TEST_CASE(broken_variants_are_caught, boost::unit_test::data::make(broken_variants), sample) {
+    BOOST_TEST(walk(sample.variant, sample.seed, walk_steps).violation != "");
+    BOOST_TEST(walk({}, sample.seed, walk_steps).violation == "");
 }
 
-// Search for seeds; not a part of the verdict.
-BOOST_AUTO_TEST_CASE(search, *boost::unit_test::disabled()) {
-    for (const broken_variant& sample : broken_variants()) {
-        std::size_t found = 0;
-        std::uint64_t first = 0;
-        walk_result result;
-        std::size_t n = std::strtoull(std::getenv("SLOT_WALKS"), nullptr, 10);
-        for (std::uint64_t seed = 1; seed <= n; ++seed) {
-            const walk_result r = walk(sample.variant, seed, walk_steps);
-            if (!r.violation.empty()) {
-                if (found++ == 0) {
-                    first = seed;
-                    result = r;
-                }
-            }
+// Finds the first seed for each variant, after a change of the model: SLOT_WALKS=N with --run_test.
+BOOST_AUTO_TEST_CASE(find_seeds, *boost::unit_test::disabled()) {
+    const std::uint64_t walks = wanted_walks(2'000);
+    for (const broken_variant& sample : broken_variants) {
+        std::uint64_t seed = 1;
+        while (seed <= walks && walk(sample.variant, seed, walk_steps).violation.empty()) {
+            ++seed;
         }
-        std::cerr << sample.variant.name << ": " << found << " of " << n << ", first " << first << " "
-                  << result.violation << "\n";
+        BOOST_TEST(seed <= walks, sample.variant.name << ": no violation in " << walks << " walks");
+        BOOST_TEST_MESSAGE(sample.variant.name << ": seed " << seed);
     }
 }
 
