--- a/main/ctl/ctl_app.cpp
+++ b/main/ctl/ctl_app.cpp
@@ -5,6 +5,7 @@
 #include <exception>
 
 #include "main/ctl/ctl_context.h"
+#include "main/ctl/fleet_group.h"
 #include "main/ctl/table_group.h"
 
 namespace teaselpitch {
@@ -44,6 +45,8 @@
     app.require_subcommand(1);
     // One line for each command group.
     add_table_group(app, context);
+    add_fleet_queries(app, context);
+    add_fleet_commands(app, context);
     allow_global_options_anywhere(app);
     try {
         std::reverse(arguments.begin(), arguments.end());
