Judge slot assignments by one class

The replica and the claims each had an assignment type and rules of acceptance; they differed in who may append a planned change. The replica now uses slot_map, which demands that the new holder appends its own assignment. Its test table keeps every case; the set-up record is now appended by the holder that it names. ctest: test_table passes.

--- a/servers/table/table_replica.cpp
+++ b/servers/table/table_replica.cpp
@@ -59,7 +59,7 @@
         record.set_version(edit.version);
         record.set_reason(edit.reason);
     }
-    for (const auto& [key, assignment] : slots_.all()) {
+    for (const slot_assignment& assignment : slots_.all()) {
         *snapshot.add_slots() = to_wire(assignment);
     }
     return snapshot;
@@ -163,7 +163,16 @@
 apply_result table_replica::apply_slots(std::uint64_t offset, const wire::SlotChange& change) {
     apply_result result;
     std::vector<std::string> refusals;
-    result.new_slots = slots_.apply(change, offset, refusals);
+    for (const wire::SlotAssignment& next : change.assignments()) {
+        const absl::Status judged = slots_.apply(next, from_wire(change.appender()), change.reset(), offset + 1);
+        const slot_id slot{next.service(), next.slot()};
+        if (judged.ok()) {
+            result.new_slots.push_back(*slots_.find(slot));
+        } else {
+            refusals.push_back("slot " + slot.service + "/" + std::to_string(slot.slot) + ": " +
+                               std::string(judged.message()));
+        }
+    }
     result.outcome = result.new_slots.empty() ? record_outcome::rejected : record_outcome::accepted;
     result.reason = absl::StrJoin(refusals, "; ");
     return result;
@@ -210,15 +219,16 @@
     for (const wire::EditResult& edit : snapshot.recent_edits()) {
         remember_edit({edit.edit_id(), edit.author(), edit.accepted(), edit.version(), edit.reason()});
     }
-    slot_assignments slots;
+    std::vector<slot_assignment> assignments;
     for (const wire::SlotAssignment& record : snapshot.slots()) {
-        slot_assignment assignment = parse_assignment(record);
-        const slot_assignment* known = slots_.find(assignment.service, assignment.slot);
-        if (known == nullptr || *known != assignment) {
-            result.new_slots.push_back(assignment);
+        assignments.push_back(from_wire(record));
+        const slot_assignment* known = slots_.find(assignments.back().slot);
+        if (known == nullptr || known->epoch != assignments.back().epoch) {
+            result.new_slots.push_back(assignments.back());
         }
-        slots.restore(std::move(assignment));
     }
+    slot_map slots;
+    slots.adopt(assignments);
     slots_ = std::move(slots);
 }
 
--- a/servers/table/table_replica.h
+++ b/servers/table/table_replica.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "core/wire/table.pb.h"
-#include "servers/table/slot_assignments.h"
+#include "servers/claims/slot_map.h"
 #include "servers/table/table.h"
 
 namespace teaselpitch {
@@ -80,7 +80,7 @@
     [[nodiscard]] const edit_result* find_edit(std::string_view edit_id) const;
     [[nodiscard]] const std::deque<edit_result>& recent_edits() const { return recent_edits_; }
 
-    [[nodiscard]] const slot_assignments& slots() const { return slots_; }
+    [[nodiscard]] const slot_map& slots() const { return slots_; }
 
     /// The state for other replicas; true at any time, also while records are missing.
     [[nodiscard]] wire::Snapshot make_snapshot() const;
@@ -114,7 +114,7 @@
     std::shared_ptr<const table> table_;
     std::uint64_t next_offset_ = 0;
     std::uint64_t as_of_ = 0;
-    slot_assignments slots_;
+    slot_map slots_;
     std::deque<edit_result> recent_edits_;
     std::unordered_map<std::string, std::uint64_t> edit_index_;  // Edit id to its number since the start.
     std::uint64_t forgotten_edits_ = 0;
