--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -7,7 +7,9 @@
 target_include_directories(teaselpitch_options INTERFACE ${CMAKE_SOURCE_DIR})
 target_link_libraries(teaselpitch_options INTERFACE Threads::Threads Boost::headers)
 if(TEASELPITCH_SANITIZE)
-  target_compile_options(teaselpitch_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
+  # GCC 12 reports members of boost::optional in Beast as uninitialised in sanitized builds only.
+  target_compile_options(teaselpitch_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer
+                                                       -Wno-maybe-uninitialized)
   target_link_options(teaselpitch_options INTERFACE -fsanitize=address,undefined)
 endif()
 if(TEASELPITCH_TSAN)
--- a/main/standin_target/standin_work.cpp
+++ b/main/standin_target/standin_work.cpp
@@ -100,9 +100,14 @@
         written = co_await writer.write_body(std::as_bytes(std::span<const char>(text)));
     }
     if (written.ok()) {
-        co_await writer.finish();
+        written = co_await writer.finish();
     }
-    co_return answered();
+    exchange_result result = answered();
+    if (!written.ok()) {
+        writer.abort();
+        result.error = error_kind::answer_broken;
+    }
+    co_return result;
 }
 
 awaitable<bool> standin_work::request::read_body() {
