--- a/main/bench_health/fleet_calls.cpp
+++ b/main/bench_health/fleet_calls.cpp
@@ -201,6 +201,7 @@
     }
     if (result.good) {
         from.retries->on_success();
+        from.quarantine->on_success(subject->fingerprint);
     }
     finish(*subject, result.good);
 }
--- a/servers/health/crash_quarantine.cpp
+++ b/servers/health/crash_quarantine.cpp
@@ -41,26 +41,56 @@
 crash_verdict crash_quarantine::on_crash(const crash_report& crash, std::chrono::milliseconds age) {
     const std::lock_guard lock(mutex_);
     entry* item = find_or_add(crash.fingerprint);
-    if (quarantined_now(*item)) {
-        return crash_verdict::known;
-    }
-    forget_old_crashes(*item);
-    std::erase_if(item->crashes, [&](const crash_time& known) { return known.target == crash.target; });
-    item->crashes.push_back({.target = crash.target, .at = clock_.now() - age});
-    forget_old_crashes(*item);
-    if (item->crashes.size() > most_crashes_each) {
-        item->crashes.erase(item->crashes.begin());
-    }
-    if (item->crashes.size() < 2) {
+    add_crash(*item, {.target = crash.target, .at = clock_.now() - age});
+    const std::uint32_t successes = successes_of(crash.fingerprint);
+    const bool known = quarantined_now(*item);
+    if (!known && item->crashes.size() < 2) {
         return crash_verdict::suspected;
     }
-    if (successes_of(crash.fingerprint) >= options_.successes_per_crash * item->crashes.size()) {
+    if (!known && (successes >= options_.successes_per_crash * item->crashes.size() ||
+                   (successes > 0 && has_worse_companion(crash.target)))) {
         return crash_verdict::harmless;
     }
+    if (successes == 0) {
+        release_companions(crash.target);
+    }
+    if (known) {
+        return crash_verdict::known;
+    }
     item->quarantined_until = clock_.now() + options_.duration;
     return crash_verdict::quarantine;
 }
 
+void crash_quarantine::add_crash(entry& item, const crash_time& crash) const {
+    std::erase_if(item.crashes, [&](const crash_time& known) { return known.target == crash.target; });
+    item.crashes.push_back(crash);
+    forget_old_crashes(item);
+    if (item.crashes.size() > most_crashes_each) {
+        item.crashes.erase(item.crashes.begin());
+    }
+}
+
+// A fingerprint that never succeeds and was in flight at the same crash is the likelier cause.
+bool crash_quarantine::has_worse_companion(const target_identity& crashed) const {
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return quarantined_now(item.second) && has_crash(item.second, crashed) &&
+               successes_of(item.first) == 0;
+    });
+}
+
+void crash_quarantine::release_companions(const target_identity& crashed) {
+    for (auto& [fingerprint, item] : entries_) {
+        if (quarantined_now(item) && has_crash(item, crashed) && successes_of(fingerprint) > 0) {
+            item.quarantined_until = steady_time{};
+        }
+    }
+}
+
+bool crash_quarantine::has_crash(const entry& item, const target_identity& crashed) {
+    return std::any_of(item.crashes.begin(), item.crashes.end(),
+                       [&](const crash_time& known) { return known.target == crashed; });
+}
+
 void crash_quarantine::on_success(std::uint64_t fingerprint) {
     const std::lock_guard lock(mutex_);
     for (std::size_t row = 0; row < successes_.size(); ++row) {
--- a/servers/health/crash_quarantine.h
+++ b/servers/health/crash_quarantine.h
@@ -35,7 +35,7 @@
     std::chrono::seconds window{60};  ///< Two crashes within this time quarantine.
     std::chrono::seconds duration{300};
     std::size_t most_fingerprints = 4'096;  ///< Bounds the memory.
-    std::uint32_t successes_per_crash = 5;  ///< A fingerprint that succeeds this often is not the cause.
+    std::uint32_t successes_per_crash = 3;  ///< A fingerprint that succeeds this often is not the cause.
 };
 
 /// One crash, for the other nodes.
@@ -58,7 +58,9 @@
 };
 
 /// Finds requests that crash one target after another. Two crashes on different targets, or on two
-/// incarnations of one target, within the window quarantine the fingerprint. Memory is bounded: the
+/// incarnations of one target, within the window quarantine the fingerprint. A request that was retried
+/// together with the cause may meet both crashes; when one that never succeeds was in flight at the same
+/// crash, those that do succeed are not quarantined. Memory is bounded: the
 /// oldest suspicion gives way. Safe to use from several threads; the lock is held for microseconds.
 class crash_quarantine {
 public:
@@ -93,6 +95,10 @@
     static constexpr std::size_t sketch_size = 4'096;
     using sketch = std::array<std::array<std::uint16_t, sketch_size>, 2>;
 
+    [[nodiscard]] bool has_worse_companion(const target_identity& crashed) const;
+    [[nodiscard]] static bool has_crash(const entry& item, const target_identity& crashed);
+    void add_crash(entry& item, const crash_time& crash) const;
+    void release_companions(const target_identity& crashed);
     entry* find_or_add(std::uint64_t fingerprint);
     void make_room();
     void forget_old_crashes(entry& item) const;
