--- a/servers/health/target_judge.cpp
+++ b/servers/health/target_judge.cpp
@@ -287,7 +287,7 @@
     }
     next.confirming = enough_since_ && now - *enough_since_ < options_.confirmation;
     next.badness = next.confirming ? unconfirmed : next.badness;
-    latest_ = std::move(next);
+    latest_ = next;
 }
 
 }  // namespace teaselpitch
--- a/servers/routing/ejector.cpp
+++ b/servers/routing/ejector.cpp
@@ -57,6 +57,7 @@
     }
     std::erase_if(entries_, [&](const auto& item) { return !named.contains(item.first); });
     version_.fetch_add(1, std::memory_order_release);
+    active_ = true;
     decisions out;
     evaluate(out);
     return out;
@@ -90,6 +91,7 @@
         node_paths_.erase(std::string(node));
         return out;
     }
+    active_ = true;
     node_paths_[std::string(node)] = {badness, clock_.now()};
     if (badness >= eject_at) {
         evaluate(out);
@@ -110,6 +112,7 @@
 
 std::vector<ejector_decision> ejector::on_floors(std::vector<floor_rule> floors) {
     const std::lock_guard lock(mutex_);
+    active_ = true;
     options_.floors = std::move(floors);
     decisions out;
     evaluate(out);
@@ -119,11 +122,15 @@
 std::vector<ejector_decision> ejector::on_tick() {
     const std::lock_guard lock(mutex_);
     decisions out;
+    if (!active_) {
+        return out;
+    }
     std::erase_if(node_paths_, [now = clock_.now()](const auto& item) {
         return now - item.second.set_at > node_path_lifetime;
     });
     advance_states(out);
     evaluate(out);
+    active_ = !settled();
     return out;
 }
 
@@ -266,6 +273,7 @@
 
 void ejector::advance_states(decisions& out) {
     for (auto& [name, subject] : entries_) {
+        subject.evidence.on_tick(clock_.now());
         if (subject.target.lifecycle != target_lifecycle::ready) {
             continue;
         }
@@ -290,6 +298,14 @@
     }
 }
 
+bool ejector::settled() const {
+    return node_paths_.empty() && std::all_of(entries_.begin(), entries_.end(), [](const auto& item) {
+               const entry& subject = item.second;
+               return subject.target.lifecycle != target_lifecycle::ready ||
+                      (subject.states.state() == target_state::healthy && subject.evidence.quiet());
+           });
+}
+
 void ejector::evaluate(decisions& out) {
     std::vector<candidate> candidates;
     for (auto& [name, subject] : entries_) {
@@ -339,6 +355,7 @@
 // Only evidence that asks for a change is worth walking over all targets; the tick does the rest.
 std::vector<ejector_decision> ejector::evaluate_if_needed(entry& subject) {
     decisions out;
+    active_ = active_ || !subject.evidence.quiet();
     const bool asks = badness_of(subject).total >= eject_at;
     if (asks && !subject.refused && subject.states.state() != target_state::ejected) {
         evaluate(out);
--- a/servers/routing/ejector.h
+++ b/servers/routing/ejector.h
@@ -144,6 +144,7 @@
     std::optional<candidate> as_candidate(entry& subject);
     void select_removable(std::vector<candidate>& candidates) const;
     void advance_states(decisions& out);
+    [[nodiscard]] bool settled() const;
     void evaluate(decisions& out);
     void apply(const candidate& chosen, decisions& out);
     void record(decisions& out, ejector_action action, const entry& subject, const combined_badness& badness,
@@ -156,6 +157,9 @@
     std::map<std::string, entry, std::less<>> entries_;
     std::map<std::string, node_path, std::less<>> node_paths_;
     std::atomic<std::uint64_t> version_{0};
+    /// True when a tick could change something. A node has ejectors for thousands of services, nearly all
+    /// of them healthy, so their ticks must cost nothing.
+    bool active_ = true;
 };
 
 }  // namespace teaselpitch
--- a/servers/routing/target_evidence.cpp
+++ b/servers/routing/target_evidence.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds half_life{2'000};
 constexpr std::chrono::milliseconds answer_proves_for{1'000};
 constexpr double zones_to_eject = 2.0;  // Hints of one zone alone never eject: that zone may be cut off.
+constexpr double forgotten = 0.01;
+constexpr double doubt = 0.5;  // A gate's verdict below it needs no attention.
 constexpr std::size_t most_hints = 32;
 
 }  // namespace
@@ -68,8 +70,12 @@
     return result;
 }
 
-bool target_evidence::empty() const {
-    return gate_.badness <= 0 && path_.badness <= 0 && hints_.empty();
+void target_evidence::on_tick(steady_time now) {
+    std::erase_if(hints_, [now](const hint& known) { return known.value.at(now) < forgotten; });
+}
+
+bool target_evidence::quiet() const {
+    return gate_.badness < doubt && path_.badness <= 0 && hints_.empty();
 }
 
 }  // namespace teaselpitch
--- a/servers/routing/target_evidence.h
+++ b/servers/routing/target_evidence.h
@@ -31,8 +31,10 @@
 
     /// The combined evidence at a time. `node_path` is evidence about the path to the target's node.
     [[nodiscard]] combined_badness combined(steady_time now, double node_path) const;
-    /// True when nothing is known against the target.
-    [[nodiscard]] bool empty() const;
+    /// Forgets hints that have aged.
+    void on_tick(steady_time now);
+    /// True when nothing is known that could lead to an ejection as time passes.
+    [[nodiscard]] bool quiet() const;
 
 private:
     struct aged_value {
--- a/tests/servers/routing/route_index_test.cpp
+++ b/tests/servers/routing/route_index_test.cpp
@@ -3,11 +3,14 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <ostream>
 #include <string>
 #include <tuple>
 #include <vector>
 
+#include "tests/servers/routing/allocation_count.h"
+
 namespace teaselpitch {
 
 std::ostream& operator<<(std::ostream& out, idempotency_rule rule) {
@@ -89,6 +92,19 @@
     }
 }
 
+// Guards against an allocation for each request on the request path.
+BOOST_AUTO_TEST_CASE(lookup_does_not_allocate) {
+    const route_index index(small_table);
+    const std::string host = "SHOP.example.with.a.name.that.is.longer.than.any.small.string";
+    const std::string path = "/orders/archive" + std::string(1'000, 'x') + std::string(1'000, '/') + "?a=b";
+    const std::size_t before = allocation_count();
+    const bool found = index.find(host, path, "POST").has_value() && index.find("shop.example", path, "GET");
+    const std::size_t after = allocation_count();
+    BOOST_TEST(before > 0U);
+    BOOST_TEST(found);
+    BOOST_TEST(after == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch
