--- a/main/bench_claims/outage_bench.cpp
+++ b/main/bench_claims/outage_bench.cpp
@@ -68,6 +68,15 @@
     const auto log_down = [](outage_fleet& fleet) { fleet.set_log_everywhere(false); };
     const auto log_up = [](outage_fleet& fleet) { fleet.set_log_everywhere(true); };
     const auto drain = [](outage_fleet& fleet) { fleet.drain(fleet.node_of_part(0)); };
+    const auto leave = [](outage_fleet& fleet) {
+        const std::size_t candidate = fleet.node_of_part(1);
+        fleet.set_log_everywhere(false);
+        fleet.renounce(candidate);
+        for (int i = 0; i < 20; ++i) {
+            fleet.advance(step);
+        }
+        fleet.kill(candidate);
+    };
     const auto pause = [](outage_fleet& fleet) { fleet.set_paused(fleet.node_of_part(0), true); };
     const auto resume = [](outage_fleet& fleet) { fleet.resume_all(); };
     return {
@@ -79,6 +88,7 @@
         {"log down for 600 s", log_down, outage, log_up},
         {"log down for 600 s, a candidate dies",
          [=](outage_fleet& fleet) { kill(1)(fleet), log_down(fleet); }, outage, log_up},
+        {"log down for 600 s, a candidate leaves", leave, outage, log_up},
         {"a candidate dies", kill(1), 0s, {}},
         {"holder alone without the log for 600 s",
          [](outage_fleet& fleet) { fleet.set_log(fleet.node_of_part(0), false); }, outage, log_up},
--- a/main/bench_claims/outage_fleet.h
+++ b/main/bench_claims/outage_fleet.h
@@ -38,6 +38,7 @@
     void resume_all();
     void set_log(std::size_t node, bool reachable) { nodes_[node].reaches_log = reachable; }
     void set_log_everywhere(bool reachable);
+    void renounce(std::size_t node) { nodes_[node].promises->renounce(); }
     void drain(std::size_t node) { nodes_[node].policy->set_draining(); }
 
     /// The node of this part at present: 0 is the holder, 1 and 2 are its candidates.
--- a/servers/claims/claim_ledger.cpp
+++ b/servers/claims/claim_ledger.cpp
@@ -8,8 +8,8 @@
 namespace teaselpitch {
 namespace {
 
-// Hash table node, key header and expiry record of one claim, measured by teaselpitch-bench-claims.
-constexpr std::size_t bytes_per_claim = 176;
+// Beside the bytes of the key; teaselpitch-bench-claims measured 173 to 176 in all for keys of 36 bytes.
+constexpr std::size_t bytes_per_claim = 140;
 
 std::size_t claim_bytes(std::string_view key) {
     return bytes_per_claim + key.size();
--- a/servers/claims/lease_promises.cpp
+++ b/servers/claims/lease_promises.cpp
@@ -36,13 +36,14 @@
     }
     record.promised_until = std::max(record.promised_until, clock_.now() + options_.lease);
     reply.set_promised(true);
+    reply.set_renounced(renounced_);
     return reply;
 }
 
 bool lease_promises::begin_append(const slot_id& slot, std::uint64_t epoch) {
     const std::lock_guard lock(mutex_);
     slot_record& record = slots_[slot];
-    if (clock_.now() <= record.promised_until || epoch < record.known_epoch) {
+    if (renounced_ || clock_.now() <= record.promised_until || epoch < record.known_epoch) {
         return false;
     }
     record.appended_over = epoch;
@@ -59,6 +60,11 @@
     }
 }
 
+void lease_promises::renounce() {
+    const std::lock_guard lock(mutex_);
+    renounced_ = true;
+}
+
 void lease_promises::on_assignment(const slot_assignment& assignment) {
     const std::lock_guard lock(mutex_);
     const auto found = slots_.find(assignment.slot);
@@ -95,7 +101,7 @@
     sent_.clear();
     if (assignment.holder == self_) {
         for (const node_identity& candidate : assignment.candidates) {
-            candidates_.push_back({candidate, std::nullopt});
+            candidates_.push_back({.node = candidate});
         }
     }
 }
@@ -106,6 +112,9 @@
     absl::erase_if(sent_, [&](const auto& entry) { return now - entry.second.sent_at > options_.lease; });
     std::vector<wire::PromiseRequest> requests;
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        if (candidates_[i].renounced) {
+            continue;
+        }
         wire::PromiseRequest& request = requests.emplace_back();
         request.set_service(assignment_.slot.service);
         request.set_slot(assignment_.slot.slot);
@@ -126,6 +135,7 @@
     candidate_record& record = candidates_[sent->second.candidate];
     if (reply.promised() && from_wire(reply.candidate()) == record.node) {
         record.promised_at = std::max(record.promised_at.value_or(steady_time{}), sent->second.sent_at);
+        record.renounced = record.renounced || reply.renounced();
     }
     sent_.erase(sent);
 }
@@ -136,6 +146,9 @@
     }
     steady_time oldest = clock_.now();
     for (const candidate_record& record : candidates_) {
+        if (record.renounced) {
+            continue;
+        }
         if (!record.promised_at) {
             return std::nullopt;
         }
--- a/servers/claims/lease_promises.h
+++ b/servers/claims/lease_promises.h
@@ -36,6 +36,10 @@
     /// connection was opened.
     void on_append_not_sent(const slot_id& slot, std::uint64_t epoch);
 
+    /// The node is about to stop: it appends no takeover any more, and its promises last for ever. So a
+    /// planned restart of a candidate during an outage of the log does not end the freshness of its holders.
+    void renounce();
+
     /// A newer assignment was read.
     void on_assignment(const slot_assignment& assignment);
 
@@ -54,6 +58,7 @@
     const slot_options options_;
     const node_identity self_;
     mutable std::mutex mutex_;
+    bool renounced_ = false;
     /// Slots in which this node was named, asked or appending; others need no memory.
     absl::flat_hash_map<slot_id, slot_record> slots_;
 };
@@ -80,7 +85,8 @@
 private:
     struct candidate_record {
         node_identity node;
-        std::optional<steady_time> promised_at;  ///< When the newest granted request was sent.
+        std::optional<steady_time> promised_at{};  ///< When the newest granted request was sent.
+        bool renounced = false;
     };
 
     struct sent_request {
--- a/tests/servers/claims/slot_model.cpp
+++ b/tests/servers/claims/slot_model.cpp
@@ -53,7 +53,8 @@
     }
     const time_source& clock = *place.clock;
     place.holder.reset();  // Refers to the ledger.
-    place.ledger = std::make_unique<claim_ledger>(clock, claim_options{.retention = options_.retention});
+    place.ledger = std::make_unique<claim_ledger>(
+        clock, claim_options{.retention = options_.retention, .max_claims = 8});
     place.holder = std::make_unique<slot_holder>(clock, holder_options, place.self, the_slot, *place.ledger);
     place.promises = std::make_unique<lease_promises>(clock, options_, place.self);
     place.requests = std::make_unique<promise_requests>(clock, options_, place.self);
@@ -119,6 +120,10 @@
             return write(next.a);
         case act::end_run:
             return end_run(next.a, next.b);
+        case act::renounce:
+            return at(next.a).promises->renounce();
+        case act::reset:
+            return reset(at(next.a), next.b);
         case act::crash:
             return crash(at(next.a));
         case act::drop_message:
@@ -153,7 +158,7 @@
     for (; reader.position < end; ++reader.position) {
         const log_record& record = log_[reader.position];
         const std::uint64_t offset = reader.position + 1;
-        if (!reader.map.apply(to_wire(record.assignment), record.appender, false, offset).ok()) {
+        if (!reader.map.apply(to_wire(record.assignment), record.appender, record.reset, offset).ok()) {
             continue;
         }
         const slot_assignment& current = *reader.map.find(the_slot);
@@ -191,34 +196,39 @@
     next.candidates.push_back(nodes_[(own + first) % node_count].self);
     next.candidates.push_back(
         nodes_[(own + (second == first ? first % (node_count - 1) + 1 : second)) % node_count].self);
-    appends_.push_back({next, appender.self});
+    appends_.push_back({.assignment = next, .appender = appender.self});
 }
 
 void slot_model::take_over(node& candidate, std::uint32_t choice) {
     const slot_assignment* current = candidate.map.find(the_slot);
-    if (current == nullptr || !candidate.reaches_log ||
-        std::find(current->candidates.begin(), current->candidates.end(), candidate.self) ==
-            current->candidates.end()) {
+    if (current == nullptr || std::find(current->candidates.begin(), current->candidates.end(),
+                                        candidate.self) == current->candidates.end()) {
         return;
     }
     lease_promises unregistered(*candidate.clock, options_, candidate.self);
     const bool allowed = scheme_.registers_appends
                              ? candidate.promises->begin_append(the_slot, current->epoch)
                              : unregistered.begin_append(the_slot, current->epoch);
-    if (allowed) {
+    if (allowed && candidate.reaches_log) {
         append(candidate, false, choice);
+    } else if (allowed && scheme_.registers_appends) {
+        candidate.promises->on_append_not_sent(the_slot, current->epoch);
     }
 }
 
 void slot_model::renew(node& holder, std::uint32_t choice) {
     const slot_assignment* current = holder.map.find(the_slot);
-    if (current == nullptr || current->holder != holder.self || !holder.reaches_log) {
+    if (current == nullptr || current->holder != holder.self) {
         return;
     }
     if (scheme_.announces_renewals) {
         holder.holder->on_own_append();
     }
-    append(holder, false, choice);
+    if (holder.reaches_log) {
+        append(holder, false, choice);
+    } else {
+        holder.holder->on_own_append_not_sent(current->epoch);
+    }
 }
 
 void slot_model::hand_over(node& holder, std::uint32_t choice) {
@@ -315,6 +325,24 @@
     }
 }
 
+void slot_model::reset(node& holder, std::uint32_t choice) {
+    slot_map truth;
+    for (std::size_t i = 0; i < log_.size(); ++i) {
+        static_cast<void>(truth.apply(to_wire(log_[i].assignment), log_[i].appender, log_[i].reset, i + 1));
+    }
+    // An operator may reset a slot only when its holder and all its candidates are gone.
+    const slot_assignment& current = *truth.find(the_slot);
+    if (find(current.holder) != nullptr ||
+        std::any_of(current.candidates.begin(), current.candidates.end(),
+                    [this](const node_identity& candidate) { return find(candidate) != nullptr; })) {
+        return;
+    }
+    append(holder, false, choice);
+    appends_.back().assignment.previous_epoch = current.epoch;
+    appends_.back().appender = {"operator", 1};
+    appends_.back().reset = true;
+}
+
 void slot_model::crash(node& place) {
     for (std::size_t i = 0; i < runs_.size();) {
         if (runs_[i].where != place.self) {
--- a/tests/servers/claims/slot_model.h
+++ b/tests/servers/claims/slot_model.h
@@ -71,6 +71,8 @@
     look,
     write,
     end_run,
+    renounce,
+    reset,
     crash,
     drop_message,
     count,
@@ -123,6 +125,7 @@
     struct log_record {
         slot_assignment assignment;
         node_identity appender;
+        bool reset = false;
     };
 
     struct sent_request {
@@ -178,6 +181,7 @@
     void look(std::uint32_t index);
     void write(std::uint32_t index);
     void end_run(std::uint32_t index, std::uint32_t outcome);
+    void reset(node& holder, std::uint32_t choice);
     void crash(node& place);
     void drop_message(std::uint32_t which, std::uint32_t index);
 
--- a/tests/servers/claims/slot_model_test.cpp
+++ b/tests/servers/claims/slot_model_test.cpp
@@ -26,9 +26,10 @@
     {3, act::renew},           {2, act::hand_over},      {5, act::deliver_hand_over},
     {10, act::land_append},    {10, act::promise_round}, {2, act::ask_promise},
     {4, act::deliver_request}, {4, act::deliver_reply},  {3, act::send},
-    {3, act::send_late},       {3, act::deliver_send},   {36, act::send_and_write},
+    {7, act::send_late},       {7, act::deliver_send},   {36, act::send_and_write},
     {3, act::check},           {4, act::look},           {5, act::write},
-    {3, act::end_run},         {1, act::crash},          {1, act::drop_message},
+    {3, act::end_run},         {1, act::renounce},       {2, act::reset},
+    {1, act::crash},           {1, act::drop_message},
 };
 
 act pick(std::uint64_t number) {
@@ -80,7 +81,7 @@
     return result;
 }
 
-constexpr std::size_t walk_steps = 800;
+constexpr std::size_t walk_steps = 1'000;
 
 std::uint64_t wanted_walks(std::uint64_t usual) {
     const char* wanted = std::getenv("SLOT_WALKS");
@@ -105,14 +106,14 @@
 
 // Three rules whose loss needs a rarer order of events are in slot_trace_test.cpp only.
 const std::vector<broken_variant> broken_variants{
-    {without("no initial wait", &scheme::waits_after_takeover), 3191},
-    {without("no freshness check", &scheme::checks_freshness), 30},
-    {without("promise while an append is unresolved", &scheme::registers_appends), 16221},
-    {without("first sends not distinguished", &scheme::distinguishes_first_sends), 242},
-    {without("first send without the slot's epoch", &scheme::wants_epoch_of_first_sends), 2947},
-    {without("renewal not announced", &scheme::announces_renewals), 3243},
-    {without("claims not handed over", &scheme::hands_over_claims), 742},
-    {without("waits not stretched", &scheme::stretches_waits), 65},
+    {without("no initial wait", &scheme::waits_after_takeover), 2467},
+    {without("no freshness check", &scheme::checks_freshness), 28},
+    {without("promise while an append is unresolved", &scheme::registers_appends), 525},
+    {without("first sends not distinguished", &scheme::distinguishes_first_sends), 431},
+    {without("first send without the slot's epoch", &scheme::wants_epoch_of_first_sends), 25924},
+    {without("renewal not announced", &scheme::announces_renewals), 18205},
+    {without("claims not handed over", &scheme::hands_over_claims), 1185},
+    {without("waits not stretched", &scheme::stretches_waits), 231},
 };
 
 }  // namespace
