--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -196,9 +196,11 @@
 }
 
 std::optional<std::size_t> admission_queue::displaceable(std::uint64_t account) const {
-    const auto largest =
-        std::max_element(queued_by_account_.begin(), queued_by_account_.end(),
-                         [](const auto& left, const auto& right) { return left.second < right.second; });
+    // Equal counts are told apart by the account, because the order of the table differs between processes.
+    const auto largest = std::max_element(
+        queued_by_account_.begin(), queued_by_account_.end(), [](const auto& left, const auto& right) {
+            return std::pair(left.second, left.first) < std::pair(right.second, right.first);
+        });
     if (largest == queued_by_account_.end()) {
         return std::nullopt;
     }
