Wire membership, gray detection and at-most-once execution into the node

Cause: the node knew others by heartbeats only, judged targets without a baseline, and ran a keyed request once for each send. Change: SWIM membership with anti-entropy, digests between the gates of a service, verdicts pushed when they cross the threshold, quarantines by gossip, and keyed requests at the holder of the key's slot with promises, takeovers and hand-overs. The fingerprint and the slot epoch travel between nodes.

--- a/drivers/http/error_reply.cpp
+++ b/drivers/http/error_reply.cpp
@@ -54,6 +54,9 @@
     if (!context.node.empty()) {
         add_field(text, "Teaselpitch-Node", context.node);
     }
+    if (result.slot_epoch != 0) {
+        add_field(text, "Teaselpitch-Slot-Epoch", std::to_string(result.slot_epoch));
+    }
     if (result.retry_after.has_value()) {
         add_field(text, "Retry-After", whole_seconds(*result.retry_after));
     }
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -84,6 +84,7 @@
     message.mutable_target()->set_name(head.target.name);
     message.mutable_target()->set_incarnation(head.target.incarnation);
     message.set_detours(head.detours);
+    message.set_fingerprint(head.fingerprint);
     return to_field(message);
 }
 
@@ -114,6 +115,7 @@
     head.deadline = now + std::chrono::microseconds(remaining);
     head.target = {message->target().name(), message->target().incarnation()};
     head.detours = message->detours();
+    head.fingerprint = message->fingerprint();
     return head;
 }
 
@@ -156,6 +158,7 @@
     if (result.load.has_value()) {
         put_load(*result.load, *message.mutable_load());
     }
+    message.set_slot_epoch(result.slot_epoch);
     if (result.retry_after.has_value()) {
         message.set_retry_after_ms(static_cast<std::uint64_t>(result.retry_after->count()));
     }
@@ -180,6 +183,7 @@
     if (message->has_load()) {
         result.load = take_load(message->load());
     }
+    result.slot_epoch = message->slot_epoch();
     if (message->has_retry_after_ms()) {
         result.retry_after = std::chrono::milliseconds(message->retry_after_ms());
     }
--- a/main/bench_control/fleet_model.cpp
+++ b/main/bench_control/fleet_model.cpp
@@ -196,7 +196,7 @@
         const target_announcement renewal{{"own-" + std::to_string(target), 1},
                                           "service-" + std::to_string(target),
                                           7,
-                                          target_state::ready};
+                                          announced_state::ready};
         const auto fact = node.timed([&] { return node.targets().announce(renewal); });
         if (fact.ok() && fact->has_value()) {
             (void)node.timed([&] { return node.members().gossip(**fact); });
--- a/modules/node/admin_api.cpp
+++ b/modules/node/admin_api.cpp
@@ -55,14 +55,11 @@
             {"evidence", std::move(evidence)}};
 }
 
-json::object to_json(const wire::NodeFact& fact) {
-    const endpoint admin{fact.address(), static_cast<std::uint16_t>(fact.admin_port())};
-    return {{"name", fact.name()},
-            {"incarnation", fact.incarnation()},
-            {"zone", fact.availability_zone()},
-            {"state", fact.state() == wire::NodeFact::ALIVE ? "alive" : "dead"},
-            {"draining", fact.draining()},
-            {"table_version", fact.table_version()},
+json::object to_json(const member& known) {
+    const endpoint admin{known.peer.address, known.admin_port};
+    return {{"name", known.identity.name},     {"incarnation", known.identity.incarnation},
+            {"zone", known.availability_zone}, {"state", known.running() ? "alive" : "dead"},
+            {"draining", known.draining},      {"table_version", known.table_version},
             {"admin", to_string(admin)}};
 }
 
@@ -154,8 +151,8 @@
 
 admin_response admin_api::status() const {
     json::array members;
-    for (const wire::NodeFact& fact : control_.fleet().nodes()) {
-        members.push_back(to_json(fact));
+    for (const member& known : control_.fleet().members()) {
+        members.push_back(to_json(known));
     }
     json::array guarded;
     for (const auto& target : context_.targets.all()) {
@@ -174,6 +171,7 @@
                                       {"draining", context_.draining.load()},
                                       {"table_version", control_.replica().version()},
                                       {"log_available", control_.follower().log_available()},
+                                      {"held_slots", control_.claims().held_slots()},
                                       {"members", std::move(members)},
                                       {"guarded", std::move(guarded)},
                                       {"services", services_to_json(context_)}});
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -3,7 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,7 +14,9 @@
 #include "drivers/log/log_client.h"
 #include "drivers/log/log_follower.h"
 #include "drivers/peer/peer_pool.h"
-#include "modules/node/fleet_state.h"
+#include "modules/node/claim_keeper.h"
+#include "modules/node/fleet_membership.h"
+#include "modules/node/health_exchange.h"
 #include "modules/node/node_context.h"
 #include "servers/table/table_replica.h"
 
@@ -27,35 +31,69 @@
     control_plane& operator=(const control_plane&) = delete;
 
     // Commands.
-    void start();
-    /// Tells the other nodes that this node and its targets leave.
+    absl::Status start();
+    /// Hands over the slots of idempotency keys and tells the other nodes that this node and its targets
+    /// leave.
     awaitable<void> announce_drain();
+    /// The last message to the other nodes.
+    void leave() { fleet_.leave(); }
     void on_own_target(const kept_target_fact& fact);
-    /// Answers a control call of another node; runs on the control thread.
+    /// Spreads a quarantine that was decided here.
+    void on_quarantine(const std::string& service, std::uint64_t fingerprint);
+    /// Result of an attempt to connect to a peer.
+    void on_direct_result(const std::string& node, bool reached) { fleet_.on_direct_result(node, reached); }
+    /// Answers a control call of another node.
     awaitable<absl::StatusOr<std::string>> handle_call(std::string method, std::string payload);
+    claim_keeper& claims() { return claims_; }
 
     // Queries.
-    [[nodiscard]] const fleet_state& fleet() const { return fleet_; }
+    [[nodiscard]] const fleet_membership& fleet() const { return fleet_; }
+    [[nodiscard]] const claim_keeper& claims() const { return claims_; }
     [[nodiscard]] const table_replica& replica() const { return replica_; }
     [[nodiscard]] const log_follower& follower() const { return follower_; }
 
 private:
     void spawn(awaitable<void> task, std::string_view name);
     awaitable<void> every(std::chrono::milliseconds period, std::function<void()> work);
-    awaitable<void> exchange_state();
-    awaitable<void> exchange_state_with(endpoint peer);
-    [[nodiscard]] std::vector<endpoint> peers_to_ask() const;
+    void start_timers();
+    void on_judge_tick();
+    void on_second();
+
+    // The table and the slots.
     void on_table();
     void on_record(const wire::StoredRecord& record, const apply_result& result);
-    void apply(const fleet_change& change);
+    void record_edit(const wire::StoredRecord& record, const edit_result& edit);
+    awaitable<void> append(std::string record);
+    awaitable<void> fetch_table();
+    awaitable<void> fetch_table_from(endpoint peer);
+    absl::StatusOr<std::string> answer_table(std::string_view payload) const;
+
+    // The other nodes.
+    void on_nodes_changed();
+    void update_services();
+    void update_places(const std::string& service);
+    void spread_verdicts();
+    void take_verdict(const wire::VerdictFact& fact);
+    awaitable<void> send_digest(outgoing_digest message);
+    awaitable<void> send_verdict(endpoint peer, std::string payload);
+    awaitable<void> send_promise_request(wire::PromiseRequest request);
+    awaitable<void> send_hand_over(node_identity successor, wire::HandOver message);
+    [[nodiscard]] std::optional<endpoint> peer_of(const std::string& node) const;
+    claim_keeper_hooks make_claim_hooks();
 
     boost::asio::io_context& control_;
     node_context& context_;
-    fleet_state fleet_;
     table_replica replica_;
     log_client log_;
     log_follower follower_;
     peer_pool peers_;
+    fleet_membership fleet_;
+    health_exchange health_;
+    claim_keeper claims_;
+    std::set<std::string> changed_services_;  ///< Services whose targets changed since the last tick.
+    bool nodes_changed_ = true;
+    std::map<std::string, double> spread_badness_;  ///< Verdicts that the other nodes know, by target.
+    std::uint64_t verdict_sequence_ = 0;
 };
 
 }  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/fleet_membership.cpp
@@ -0,0 +1,208 @@
+#include "modules/node/fleet_membership.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::chrono::milliseconds sync_timeout{2'000};
+// One exchange moves a bounded number of leaves; a node that starts needs several.
+constexpr int max_sync_rounds = 64;
+
+membership_self self_of(const node_context& context) {
+    const node_settings& settings = context.settings;
+    return {.identity = context.self,
+            .availability_zone = settings.availability_zone,
+            .gossip = settings.peer_advertise,
+            .peer = settings.peer_advertise,
+            .admin_port = settings.admin_advertise.port};
+}
+
+announced_state to_announced(target_lifecycle state) {
+    switch (state) {
+        case target_lifecycle::starting:
+            return announced_state::starting;
+        case target_lifecycle::ready:
+            return announced_state::ready;
+        case target_lifecycle::leaving:
+            return announced_state::leaving;
+    }
+    return announced_state::leaving;
+}
+
+target_lifecycle to_lifecycle(announced_state state) {
+    switch (state) {
+        case announced_state::starting:
+            return target_lifecycle::starting;
+        case announced_state::ready:
+            return target_lifecycle::ready;
+        default:
+            return target_lifecycle::leaving;
+    }
+}
+
+std::string_view state_name(node_state state) {
+    switch (state) {
+        case node_state::alive:
+            return "alive";
+        case node_state::suspect:
+            return "suspect";
+        case node_state::dead:
+            return "dead";
+        case node_state::left:
+            return "left";
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+fleet_membership::fleet_membership(boost::asio::any_io_executor executor, node_context& context,
+                                   peer_pool& peers, fleet_hooks hooks)
+    : executor_(executor),
+      context_(context),
+      peers_(peers),
+      hooks_(std::move(hooks)),
+      targets_(context.clock, context.self, {},
+               {.on_change =
+                    [this](const target_view& view) { hooks_.targets_changed(std::string(view.service)); },
+                .on_verdict = [this](const wire::VerdictFact& fact) { hooks_.verdict(fact); },
+                .on_quarantine = [this](const wire::QuarantineFact& fact) { hooks_.quarantine(fact); }}),
+      members_(context.clock, std::mt19937_64(std::random_device{}()), self_of(context),
+               context.settings.seeds, {},
+               {.on_change = [this](const member_change& change) { on_member_change(change); },
+                .on_fact = [this](const wire::Fact& fact) { return targets_.apply(fact); }}),
+      sync_(members_, targets_),
+      socket_(executor, context.settings.peer_listen,
+              [this](const endpoint& from, std::span<const std::byte> payload) {
+                  send(members_.on_datagram(from, payload));
+              }) {}
+
+absl::Status fleet_membership::start() {
+    targets_.on_node(context_.self, true);
+    return socket_.start().status();
+}
+
+void fleet_membership::on_tick() {
+    send(members_.on_tick());
+    for (const wire::Fact& fact : targets_.on_tick()) {
+        send(members_.gossip(fact));
+    }
+}
+
+void fleet_membership::renew_targets() {
+    for (const kept_target_fact& fact : context_.targets.facts()) {
+        on_own_target(fact);
+    }
+}
+
+void fleet_membership::on_own_target(const kept_target_fact& fact) {
+    // A target that fell silent is shown as leaving until the registry drops it.
+    const announced_state state = fact.gone ? announced_state::leaving : to_announced(fact.state);
+    const auto announced = targets_.announce({fact.identity, fact.service, fact.slots, state});
+    if (announced.ok() && announced->has_value()) {
+        send(members_.gossip(**announced));
+    }
+}
+
+void fleet_membership::leave() {
+    send(members_.leave());
+}
+
+void fleet_membership::gossip(const wire::Fact& fact) {
+    send(members_.gossip(fact));
+}
+
+void fleet_membership::on_direct_result(std::string_view node, bool reached) {
+    send(members_.on_direct_result(node, reached));
+}
+
+absl::StatusOr<std::string> fleet_membership::answer_sync(std::string_view method, std::string_view payload) {
+    return method == groups_method ? sync_.answer_groups(payload) : sync_.answer_facts(payload);
+}
+
+node_directory fleet_membership::directory() const {
+    node_directory result;
+    for (const member& known : members()) {
+        if (known.running()) {
+            result.emplace(known.identity.name,
+                           node_address{known.identity, known.peer, known.availability_zone,
+                                        members_.reachable_directly(known.identity.name)});
+        }
+    }
+    return result;
+}
+
+std::vector<member> fleet_membership::members() const {
+    std::vector<member> result{members_.self()};
+    for (const member* known : members_.running()) {
+        result.push_back(*known);
+    }
+    for (const member* known : members_.stopped()) {
+        result.push_back(*known);
+    }
+    return result;
+}
+
+std::vector<registered_target> fleet_membership::targets_of(const std::string& service) const {
+    std::vector<registered_target> result;
+    targets_.for_each(service, [this, &result](const target_view& view) {
+        const member* node = members_.find(view.node);
+        const bool own = view.node == context_.self.name;
+        result.push_back(
+            {.identity = {std::string(view.name), view.incarnation},
+             .node = std::string(view.node),
+             .zone = own || node == nullptr ? context_.settings.availability_zone : node->availability_zone,
+             .slots = view.slots,
+             .weight = 1.0,
+             .lifecycle = to_lifecycle(view.state),
+             .ready_since = context_.clock.now() - view.ready_age});
+    });
+    return result;
+}
+
+void fleet_membership::send(const membership_output& output) {
+    for (const outgoing_datagram& datagram : output.datagrams) {
+        // A lost datagram is repeated by the protocol, so a failed send needs no reaction here.
+        (void)socket_.send(datagram.to, std::as_bytes(std::span(datagram.payload)));
+    }
+    if (output.sync_with) {
+        boost::asio::co_spawn(executor_, synchronise(*output.sync_with), boost::asio::detached);
+    }
+}
+
+void fleet_membership::on_member_change(const member_change& change) {
+    log_event(event_level::info, "member",
+              {{"node", change.who->identity.name},
+               {"incarnation", change.who->identity.incarnation},
+               {"zone", change.who->availability_zone},
+               {"state", state_name(change.after)}});
+    targets_.on_node(change.who->identity, change.who->running());
+    hooks_.nodes_changed();
+}
+
+awaitable<void> fleet_membership::synchronise(endpoint peer) {
+    for (int round = 0; round < max_sync_rounds; ++round) {
+        std::string groups = sync_.groups_request();
+        const auto leaves = co_await peers_.call(peer, groups_method, std::move(groups), sync_timeout);
+        if (!leaves.ok()) {
+            co_return;
+        }
+        auto request = sync_.facts_request(*leaves);
+        if (!request.ok() || !request->has_value()) {
+            co_return;
+        }
+        std::string wanted = std::move(**request);
+        const auto facts = co_await peers_.call(peer, facts_method, std::move(wanted), sync_timeout);
+        if (!facts.ok() || !sync_.merge(*facts).ok()) {
+            co_return;
+        }
+    }
+}
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/modules/node/health_exchange.cpp
@@ -0,0 +1,138 @@
+#include "modules/node/health_exchange.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace teaselpitch {
+namespace {
+
+constexpr std::size_t urgent_fanout = 8;
+constexpr std::chrono::milliseconds urgent_interval{100};
+
+target_summary from_wire(const wire::TargetDigest& message) {
+    return {.target = message.target(),
+            .requests = message.requests(),
+            .failures = message.failures(),
+            .mean_log_latency = message.mean_log_latency(),
+            .log_latency_deviation = message.log_latency_deviation()};
+}
+
+void to_wire(const target_summary& summary, wire::TargetDigest& message) {
+    message.set_target(summary.target);
+    message.set_requests(summary.requests);
+    message.set_failures(summary.failures);
+    message.set_mean_log_latency(summary.mean_log_latency);
+    message.set_log_latency_deviation(summary.log_latency_deviation);
+}
+
+}  // namespace
+
+health_exchange::health_exchange(node_context& context)
+    // A restarted node must not be ignored for having counted from one again.
+    : context_(context), sequence_(context.self.incarnation), random_(context.self.incarnation) {}
+
+std::vector<outgoing_digest> health_exchange::on_second() {
+    std::set<std::string> services;
+    for (const auto& target : context_.targets.all()) {
+        services.insert(target->guarded().service());
+    }
+    std::vector<outgoing_digest> out;
+    for (const std::string& service : services) {
+        send_service(service, fanout, out);
+    }
+    for (auto& [service, entry] : services_) {
+        entry->digest.on_tick();
+    }
+    return out;
+}
+
+std::vector<outgoing_digest> health_exchange::on_judge_tick() {
+    std::vector<outgoing_digest> out;
+    for (const auto& target : context_.targets.all()) {
+        if (!target->judge().suspicious()) {
+            continue;
+        }
+        service_entry& entry = entry_of(target->guarded().service());
+        if (context_.clock.now() - entry.urgent_at < urgent_interval) {
+            continue;
+        }
+        entry.urgent_at = context_.clock.now();
+        send_service(target->guarded().service(), urgent_fanout, out);
+    }
+    return out;
+}
+
+absl::StatusOr<std::string> health_exchange::answer(std::string_view payload) {
+    wire::ServiceDigest digest;
+    if (!digest.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        return absl::InvalidArgumentError("not a service digest");
+    }
+    take(digest);
+    return own_digest(digest.service()).SerializeAsString();
+}
+
+void health_exchange::take(const wire::ServiceDigest& digest) {
+    std::vector<target_summary> summaries;
+    for (const wire::TargetDigest& message : digest.targets()) {
+        summaries.push_back(from_wire(message));
+    }
+    entry_of(digest.service()).digest.on_summaries(digest.origin_node(), digest.sequence(), summaries);
+    update_baselines();
+}
+
+void health_exchange::update_baselines() {
+    context_.targets.on_baselines([this](const kept_target& target) {
+        return entry_of(target.guarded().service()).digest.baseline_without(target.guarded().identity().name);
+    });
+}
+
+health_exchange::service_entry& health_exchange::entry_of(const std::string& service) {
+    std::unique_ptr<service_entry>& entry = services_[service];
+    if (!entry) {
+        entry = std::make_unique<service_entry>(context_.clock);
+    }
+    return *entry;
+}
+
+wire::ServiceDigest health_exchange::own_digest(const std::string& service) {
+    wire::ServiceDigest digest;
+    digest.set_service(service);
+    digest.set_origin_node(context_.self.name);
+    digest.set_sequence(++sequence_);
+    for (const auto& target : context_.targets.all()) {
+        if (target->guarded().service() == service) {
+            to_wire(target->judge().summary(), *digest.add_targets());
+        }
+    }
+    return digest;
+}
+
+std::vector<endpoint> health_exchange::gates_of(const std::string& service, std::size_t limit) {
+    const auto router = context_.services.find(service);
+    if (!router) {
+        return {};
+    }
+    const auto nodes = context_.nodes.read();
+    std::set<endpoint> found;
+    for (const registered_target& target : router->targets()) {
+        const auto node = nodes->find(target.node);
+        if (target.node != context_.self.name && node != nodes->end()) {
+            found.insert(node->second.peer);
+        }
+    }
+    std::vector<endpoint> gates;
+    std::sample(found.begin(), found.end(), std::back_inserter(gates), limit, random_);
+    return gates;
+}
+
+void health_exchange::send_service(const std::string& service, std::size_t limit,
+                                   std::vector<outgoing_digest>& out) {
+    const wire::ServiceDigest digest = own_digest(service);
+    take(digest);
+    for (const endpoint& gate : gates_of(service, limit)) {
+        out.push_back({gate, digest});
+    }
+}
+
+}  // namespace teaselpitch
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -24,7 +24,10 @@
              [this](admin_request request) { return api_.handle(std::move(request)); }),
       shards_(settings_.threads) {
     context_.target_changed = [this](const kept_target_fact& fact) { plane_.on_own_target(fact); };
-    context_.target_crashed = [](const gate_run&, std::uint64_t) {};
+    context_.target_crashed = [this](const gate_run& run, std::uint64_t fingerprint) {
+        context_.post_control(
+            [this, service = run.head.service, fingerprint] { plane_.on_quarantine(service, fingerprint); });
+    };
 }
 
 node::~node() {
@@ -40,7 +43,9 @@
     if (absl::Status started = start_shards(); !started.ok()) {
         return started;
     }
-    plane_.start();
+    if (absl::Status started = plane_.start(); !started.ok()) {
+        return started;
+    }
     boost::asio::signal_set signals(control_, SIGTERM, SIGINT);
     signals.async_wait([this](const boost::system::error_code& error, int signal) {
         if (!error) {
@@ -65,6 +70,15 @@
     for (std::size_t i = 0; i < shards_.size(); ++i) {
         shard_hooks hooks;
         hooks.control = make_control_handler();
+        hooks.run_keyed = [this](gate& entry, const request_head& head, body_reader& body,
+                                 response_writer& writer) {
+            return plane_.claims().run(entry, head, body, writer);
+        };
+        hooks.choose_holder = [this](const request_head& head) { return choose_holder(head); };
+        hooks.direct_result = [this](const std::string& peer_node, bool reached) {
+            context_.post_control(
+                [this, peer_node, reached] { plane_.on_direct_result(peer_node, reached); });
+        };
         shard_states_.push_back(
             std::make_unique<node_shard>(shards_.context(i).get_executor(), context_, std::move(hooks)));
         if (absl::Status started = shard_states_.back()->start(); !started.ok()) {
@@ -95,6 +109,7 @@
         }
     };
     const auto finished = co_await (all_shards() || limit.async_wait(boost::asio::use_awaitable));
+    plane_.leave();
     log_event(event_level::info, "drain_ended",
               {{"node", context_.self.name}, {"everything_finished", finished.index() == 0}});
 }
@@ -105,6 +120,28 @@
                                    boost::asio::use_awaitable);
 }
 
+choice_or_refusal<route_choice> node::choose_holder(const request_head& head) const {
+    choice_or_refusal<route_choice> result;
+    const std::optional<node_identity> holder = plane_.claims().holder_of(head);
+    if (!holder) {
+        result.refused = {error_kind::slot_moving, "the key's slot has no holder yet", std::nullopt};
+        return result;
+    }
+    route_choice route;
+    route.node = holder->name;
+    route.local = *holder == context_.self;
+    route.reason = "holder_of_key";
+    const auto nodes = context_.nodes.read();
+    const auto address = nodes->find(holder->name);
+    if (address == nodes->end() || address->second.identity != *holder) {
+        result.refused = {error_kind::slot_moving, "the holder of the key's slot is not alive", std::nullopt};
+        return result;
+    }
+    route.peer = address->second.peer;
+    result.choice = std::move(route);
+    return result;
+}
+
 control_handler node::make_control_handler() {
     return
         [this](std::string_view method, std::string_view payload) -> awaitable<absl::StatusOr<std::string>> {
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -31,6 +31,7 @@
     awaitable<void> drain();
     awaitable<void> drain_shard(std::size_t index);
     control_handler make_control_handler();
+    [[nodiscard]] choice_or_refusal<route_choice> choose_holder(const request_head& head) const;
 
     const node_settings settings_;
     boost::asio::io_context control_{1};
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -143,6 +143,7 @@
     if (result.error != error_kind::peer_unreachable || result.load || head.detours > 0) {
         co_return result;
     }
+    hooks_.direct_result(choice.node, false);
     co_return co_await detour(choice, head, body, writer, std::move(result));
 }
 
--- a/modules/node/node_shard.h
+++ b/modules/node/node_shard.h
@@ -28,6 +28,8 @@
         run_keyed;
     /// Chooses the holder of a keyed request.
     std::function<choice_or_refusal<route_choice>(const request_head&)> choose_holder;
+    /// Told whether a peer node could be reached directly.
+    std::function<void(const std::string& node, bool reached)> direct_result;
 };
 
 /// The listeners, connections and handlers that run on one thread.
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -81,6 +81,9 @@
     std::string detail;           ///< One sentence for logs and explain.
     std::optional<load_report> load;
     std::optional<std::chrono::milliseconds> retry_after;
+    /// Value of Teaselpitch-Slot-Epoch: marks a new first send of a key whose slot was taken over; 0 for
+    /// none.
+    std::uint64_t slot_epoch = 0;
 };
 
 /// The failure result with the default execution state of its kind.
--- a/servers/membership/target_registry.cpp
+++ b/servers/membership/target_registry.cpp
@@ -77,7 +77,7 @@
 
 bool target_registry::visible(const record& entry) const {
     const node_entry& node = nodes_[entry.node];
-    return entry.used && entry.state != target_state::gone && node.running &&
+    return entry.used && entry.state != announced_state::gone && node.running &&
            node.identity.incarnation == entry.node_incarnation;
 }
 
@@ -142,7 +142,7 @@
     entry.service = service_of(fact.service());
     entry.node = node_of(fact.node());
     entry.slots = fact.slots();
-    entry.state = static_cast<target_state>(fact.state());
+    entry.state = static_cast<announced_state>(fact.state());
     entry.used = true;
 }
 
@@ -163,7 +163,7 @@
     fill(entry, fact);
     link(place);
     show(place);
-    if (entry.state == target_state::gone) {
+    if (entry.state == announced_state::gone) {
         tombstones_.push_back({place, entry.sequence, clock_.now()});
     }
     tell(place);
@@ -197,7 +197,7 @@
 
 absl::StatusOr<std::optional<wire::Fact>> target_registry::announce(const target_announcement& announcement) {
     if (announcement.identity.name.empty() || announcement.service.empty() || announcement.slots == 0 ||
-        announcement.state == target_state::gone) {
+        announcement.state == announced_state::gone) {
         return absl::InvalidArgumentError("an announcement needs a target, a service, slots and a state");
     }
     const auto found = places_.find(announcement.identity.name);
@@ -224,7 +224,7 @@
     target.set_node_incarnation(self_.incarnation);
     target.set_state(static_cast<wire::TargetFact::State>(announcement.state));
     target.set_slots(announcement.slots);
-    if (same_life && known->state == target_state::ready && announcement.state == target_state::ready) {
+    if (same_life && known->state == announced_state::ready && announcement.state == announced_state::ready) {
         const auto age =
             std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - known->ready_since);
         target.set_ready_age_ms(static_cast<std::uint64_t>(age.count()));
@@ -243,7 +243,7 @@
         }
         const record& entry = records_[places_.at(it->first)];
         // A target that announced itself elsewhere since then is not this node's any more.
-        if (nodes_[entry.node].identity == self_ && entry.state != target_state::gone) {
+        if (nodes_[entry.node].identity == self_ && entry.state != announced_state::gone) {
             wire::Fact fact = fact_of(entry);
             fact.mutable_target()->set_sequence(entry.sequence + 1);
             fact.mutable_target()->set_state(wire::TargetFact::GONE);
@@ -265,7 +265,7 @@
         const tombstone oldest = tombstones_.front();
         tombstones_.pop_front();
         const record& entry = records_[oldest.place];
-        if (entry.used && entry.state == target_state::gone && entry.sequence == oldest.sequence) {
+        if (entry.used && entry.state == announced_state::gone && entry.sequence == oldest.sequence) {
             erase(oldest.place);
         }
     }
@@ -312,9 +312,9 @@
     view.service = services_[entry.service].name;
     view.node = nodes_[entry.node].identity.name;
     view.node_incarnation = entry.node_incarnation;
-    view.state = visible(entry) ? entry.state : target_state::gone;
+    view.state = visible(entry) ? entry.state : announced_state::gone;
     view.slots = entry.slots;
-    if (entry.state == target_state::ready) {
+    if (entry.state == announced_state::ready) {
         view.ready_age =
             std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - entry.ready_since);
     }
@@ -361,7 +361,7 @@
     std::vector<wire::Fact> facts;
     for (const record& entry : records_) {
         // A target of a node that does not run here is not passed on: its node may have ended it already.
-        if (entry.used && wanted[entry.leaf] && (visible(entry) || entry.state == target_state::gone)) {
+        if (entry.used && wanted[entry.leaf] && (visible(entry) || entry.state == announced_state::gone)) {
             facts.push_back(fact_of(entry));
         }
     }
--- a/servers/membership/target_registry.h
+++ b/servers/membership/target_registry.h
@@ -21,7 +21,7 @@
 
 namespace teaselpitch {
 
-enum class target_state : std::uint8_t { starting, ready, leaving, gone };
+enum class announced_state : std::uint8_t { starting, ready, leaving, gone };
 
 /// A target as the registry sees it. The views are valid until the next command.
 struct target_view {
@@ -30,7 +30,7 @@
     std::string_view service;
     std::string_view node;
     std::uint64_t node_incarnation = 0;
-    target_state state = target_state::gone;  ///< Gone as well while its node is not running.
+    announced_state state = announced_state::gone;  ///< Gone as well while its node is not running.
     std::uint32_t slots = 0;
     std::chrono::milliseconds ready_age{0};  ///< Time since the target became ready.
 };
@@ -40,8 +40,8 @@
     target_identity identity;
     std::string service;
     std::uint32_t slots = 0;
-    target_state state =
-        target_state::starting;  ///< Not gone; a target that stops says leaving and falls silent.
+    announced_state state =
+        announced_state::starting;  ///< Not gone; a target that stops says leaving and falls silent.
 };
 
 struct target_registry_options {
@@ -98,7 +98,7 @@
         std::uint32_t node = 0;
         std::uint32_t slots = 0;
         std::uint16_t leaf = 0;
-        target_state state = target_state::gone;
+        announced_state state = announced_state::gone;
         bool used = false;
     };
     struct node_entry {
--- a/servers/table/table_replica.cpp
+++ b/servers/table/table_replica.cpp
@@ -164,7 +164,8 @@
     apply_result result;
     std::vector<std::string> refusals;
     for (const wire::SlotAssignment& next : change.assignments()) {
-        const absl::Status judged = slots_.apply(next, from_wire(change.appender()), change.reset(), offset + 1);
+        const absl::Status judged =
+            slots_.apply(next, from_wire(change.appender()), change.reset(), offset + 1);
         const slot_id slot{next.service(), next.slot()};
         if (judged.ok()) {
             result.new_slots.push_back(*slots_.find(slot));
--- a/tests/servers/membership/registry_test.cpp
+++ b/tests/servers/membership/registry_test.cpp
@@ -17,12 +17,12 @@
 const int seed_is_fixed = setenv("RC_PARAMS", "seed=2026", 1);
 
 target_announcement ready(const std::string& name) {
-    return {{name, 1}, "vitrine", 4, target_state::ready};
+    return {{name, 1}, "vitrine", 4, announced_state::ready};
 }
 
-target_state state_at(const target_registry& targets, const std::string& name) {
+announced_state state_at(const target_registry& targets, const std::string& name) {
     const auto found = targets.find(name);
-    return found.has_value() ? found->state : target_state::gone;
+    return found.has_value() ? found->state : announced_state::gone;
 }
 
 wire::Fact random_fact() {
@@ -71,7 +71,7 @@
             RC_ASSERT(left.has_value() == right.has_value());
             RC_ASSERT(!left || (left->state == right->state && left->slots == right->slots &&
                                 left->service == right->service && left->node == right->node));
-            RC_ASSERT(!left || left->node != "n2" || left->state == target_state::gone);
+            RC_ASSERT(!left || left->node != "n2" || left->state == announced_state::gone);
         }
     });
     BOOST_TEST(passed);
@@ -93,7 +93,7 @@
     const auto ended = targets.on_tick();
     BOOST_REQUIRE(ended.size() == 1U);
     BOOST_TEST((ended[0].target().state() == wire::TargetFact::GONE));
-    BOOST_TEST((state_at(targets, "t1") == target_state::gone));
+    BOOST_TEST((state_at(targets, "t1") == announced_state::gone));
     BOOST_TEST(targets.size() == 0U);
     BOOST_TEST(targets.announce(ready("t1")).value().has_value());
     BOOST_TEST(targets.size() == 1U);
@@ -108,22 +108,23 @@
     manual_time_source clock;
     target_registry origin(clock, {"b", 100}, {}, {});
     const wire::Fact fact = *origin.announce(ready("t1")).value();
-    std::vector<target_state> told;
+    std::vector<announced_state> told;
     target_registry_hooks hooks;
     hooks.on_change = [&](const target_view& view) { told.push_back(view.state); };
     target_registry targets(clock, {"a", 1}, {}, hooks);
     BOOST_TEST(targets.apply(fact));
-    BOOST_TEST((state_at(targets, "t1") == target_state::gone));
+    BOOST_TEST((state_at(targets, "t1") == announced_state::gone));
     targets.on_node({"b", 100}, true);
-    BOOST_TEST((state_at(targets, "t1") == target_state::ready));
+    BOOST_TEST((state_at(targets, "t1") == announced_state::ready));
     targets.on_node({"b", 100}, false);
-    BOOST_TEST((state_at(targets, "t1") == target_state::gone));
+    BOOST_TEST((state_at(targets, "t1") == announced_state::gone));
     targets.on_node({"b", 100}, true);
-    BOOST_TEST((state_at(targets, "t1") == target_state::ready));
+    BOOST_TEST((state_at(targets, "t1") == announced_state::ready));
     targets.on_node({"b", 200}, true);
-    BOOST_TEST((state_at(targets, "t1") == target_state::gone));
-    const std::vector<target_state> expected{target_state::gone, target_state::ready, target_state::gone,
-                                             target_state::ready, target_state::gone};
+    BOOST_TEST((state_at(targets, "t1") == announced_state::gone));
+    const std::vector<announced_state> expected{announced_state::gone, announced_state::ready,
+                                                announced_state::gone, announced_state::ready,
+                                                announced_state::gone};
     BOOST_TEST((told == expected));
 }
 
@@ -132,11 +133,11 @@
     small_network network(200, 3, 21);
     network.run_until([&] { return network.all_alive(); }, 30s);
     network.loss = 0.02;
-    const auto all_see = [&](target_state state) {
+    const auto all_see = [&](announced_state state) {
         return std::all_of(network.nodes.begin(), network.nodes.end(),
                            [&](const auto& node) { return state_at(*node->targets, "t1") == state; });
     };
-    const auto announce = [&](target_state state) {
+    const auto announce = [&](announced_state state) {
         target_announcement announcement = ready("t1");
         announcement.state = state;
         const auto fact = network.nodes[9]->targets->announce(announcement).value();
@@ -145,12 +146,12 @@
         }
     };
     for (int i = 0; i < 20; ++i) {
-        announce(target_state::ready);
+        announce(announced_state::ready);
         network.run(1s);
     }
-    BOOST_TEST(all_see(target_state::ready));
-    announce(target_state::leaving);
-    const auto took = network.run_until([&] { return all_see(target_state::leaving); }, 3s);
+    BOOST_TEST(all_see(announced_state::ready));
+    announce(announced_state::leaving);
+    const auto took = network.run_until([&] { return all_see(announced_state::leaving); }, 3s);
     BOOST_TEST(took.count() <= 2000);
 }
 
@@ -173,7 +174,7 @@
     BOOST_REQUIRE(request.has_value());
     BOOST_TEST(request->size() < 2000U);
     BOOST_TEST(far.answer_facts(*request).ok());
-    BOOST_TEST((state_at(*network.nodes[1]->targets, "new") == target_state::ready));
+    BOOST_TEST((state_at(*network.nodes[1]->targets, "new") == announced_state::ready));
     BOOST_TEST(!far.answer_facts("\xff\xff").ok());
     BOOST_TEST(!far.answer_groups("").ok());
 }
