Tell the members' owner about changed details such as draining

Cause: the change hook was called only for a changed state, so a draining node kept getting work from nodes that had it as alive.

Change: on_change is called for each fact that is news; before and after are equal when only details changed.

--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -187,7 +187,7 @@
         first_contact_ = true;
         next_sync_ = clock_.now();
     }
-    if (hooks_.on_change && (change->before != change->after)) {
+    if (hooks_.on_change) {
         hooks_.on_change(*change);
     }
 }
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -52,7 +52,8 @@
 };
 
 struct membership_hooks {
-    /// A member joined, changed its state, or came back.
+    /// A member joined, changed its state, came back, or changed a detail such as draining; then the state
+    /// before and after are the same.
     std::function<void(const member_change&)> on_change;
     /// A fact about something other than a node. True means that it is news and is passed on.
     std::function<bool(const wire::Fact&)> on_fact;
--- a/tests/servers/membership/membership_test.cpp
+++ b/tests/servers/membership/membership_test.cpp
@@ -1,5 +1,6 @@
 #include "servers/membership/membership.h"
 
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <tuple>
@@ -139,6 +140,19 @@
     BOOST_TEST(network.deaths() == 0U);
 }
 
+// Guards against a draining node that still gets new work because its peers are not told.
+BOOST_AUTO_TEST_CASE(draining_is_told) {
+    small_network network(100, 3, 16);
+    network.run_until([&] { return network.all_alive(); }, 30s);
+    network.nodes[5]->members->set_draining(true);
+    const auto all_told = [&] {
+        return std::all_of(network.nodes.begin(), network.nodes.end(),
+                           [&](const auto& node) { return node == network.nodes[5] || node->drains > 0; });
+    };
+    BOOST_TEST(network.run_until(all_told, 5s).count() <= 2000);
+    BOOST_TEST(network.all_see(node_state::alive, 5));
+}
+
 // Guards against a table version that some nodes never hear of, on which publish --wait depends.
 BOOST_AUTO_TEST_CASE(table_versions_are_reported) {
     small_network network(60, 3, 14);
--- a/tests/servers/membership/small_network.h
+++ b/tests/servers/membership/small_network.h
@@ -29,6 +29,7 @@
         std::unique_ptr<state_sync> sync;
         steady_time next_tick;
         std::size_t deaths = 0;  ///< Deaths that this node declared or accepted.
+        std::size_t drains = 0;  ///< Changes that told of a draining node.
     };
 
     static constexpr std::chrono::milliseconds delay{2};
@@ -50,7 +51,8 @@
                                                             target_registry_hooks{});
         membership_hooks hooks;
         hooks.on_change = [&created](const member_change& change) {
-            created.deaths += change.after == node_state::dead ? 1U : 0U;
+            created.deaths += change.after == node_state::dead && change.before != change.after ? 1U : 0U;
+            created.drains += change.after == node_state::alive && change.who->draining ? 1U : 0U;
             created.targets->on_node(change.who->identity, change.who->running());
         };
         hooks.on_fact = [&created](const wire::Fact& fact) { return created.targets->apply(fact); };
