--- a/tests/servers/membership/membership_test.cpp
+++ b/tests/servers/membership/membership_test.cpp
@@ -1,5 +1,6 @@
 #include "servers/membership/membership.h"
 
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <tuple>
@@ -26,6 +27,26 @@
     BOOST_TEST(network.deaths() == count - 1);
 }
 
+// Guards against a lost zone whose nodes are noticed one after the other, because the neighbours that should
+// probe them are lost as well.
+BOOST_AUTO_TEST_CASE(lost_zone_is_noticed_together) {
+    small_network network(60, 3, 6);
+    network.run_until([&] { return network.all_alive(); }, 30s);
+    for (std::size_t i = 1; i < 60; i += 3) {
+        network.nodes[i]->up = false;
+    }
+    const auto all_dead = [&] {
+        for (std::size_t i = 1; i < 60; i += 3) {
+            if (!network.all_see(node_state::dead, i)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    BOOST_TEST(network.run_until(all_dead, 10s).count() <= 5000);
+    BOOST_TEST(network.deaths() == 20U * 40U);
+}
+
 // Guards against live nodes that are declared dead because datagrams are lost.
 BOOST_AUTO_TEST_CASE(no_false_death_under_loss) {
     small_network network(50, 3, 7);
@@ -119,6 +140,19 @@
     BOOST_TEST(network.deaths() == 0U);
 }
 
+// Guards against a draining node that still gets new work because its peers are not told.
+BOOST_AUTO_TEST_CASE(draining_is_told) {
+    small_network network(100, 3, 16);
+    network.run_until([&] { return network.all_alive(); }, 30s);
+    network.nodes[5]->members->set_draining(true);
+    const auto all_told = [&] {
+        return std::all_of(network.nodes.begin(), network.nodes.end(),
+                           [&](const auto& node) { return node == network.nodes[5] || node->drains > 0; });
+    };
+    BOOST_TEST(network.run_until(all_told, 5s).count() <= 2000);
+    BOOST_TEST(network.all_see(node_state::alive, 5));
+}
+
 // Guards against a table version that some nodes never hear of, on which publish --wait depends.
 BOOST_AUTO_TEST_CASE(table_versions_are_reported) {
     small_network network(60, 3, 14);
