--- a/servers/table/table_replica.cpp
+++ b/servers/table/table_replica.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/str_join.h"
+#include "servers/table/snapshot_codec.h"
 #include "servers/table/table_issue.h"
 #include "servers/table/table_record.h"
 #include "servers/table/table_validation.h"
@@ -46,11 +48,10 @@
     return found == edit_index_.end() ? nullptr : &recent_edits_[found->second - forgotten_edits_];
 }
 
-wire::Snapshot table_replica::make_snapshot() const {
+std::string table_replica::make_snapshot() const {
     wire::Snapshot snapshot;
     snapshot.set_version(version());
     snapshot.set_as_of(as_of_);
-    add_rows(*table_, snapshot);
     for (const edit_result& edit : recent_edits_) {
         wire::EditResult& record = *snapshot.add_recent_edits();
         record.set_edit_id(edit.edit_id);
@@ -62,7 +63,7 @@
     for (const auto& [key, assignment] : slots_.all()) {
         *snapshot.add_slots() = to_wire(assignment);
     }
-    return snapshot;
+    return encode_snapshot(snapshot, *table_);
 }
 
 std::optional<std::vector<wire::StoredRecord>> table_replica::records_since(std::uint64_t offset) const {
@@ -90,15 +91,18 @@
     if (judges) {
         as_of_ = next_offset_;
     }
-    wire::LogRecord record;
-    const bool parsed = record.ParseFromArray(payload.data(), static_cast<int>(payload.size()));
+    const auto snapshot = find_snapshot(payload);
     if (judges) {
-        remember_record(offset, record.has_snapshot() ? std::string_view() : payload);
+        remember_record(offset, snapshot ? std::string_view() : payload);
+    }
+    if (snapshot) {
+        return adopt(*snapshot, offset);
     }
-    if (!parsed) {
+    wire::LogRecord record;
+    if (!record.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
         return rejected("the record is not valid protobuf");
     }
-    if (!judges && !record.has_snapshot()) {
+    if (!judges) {
         apply_result result = ignored("earlier records are missing");
         result.outcome = record_outcome::not_judged;
         return result;
@@ -111,7 +115,7 @@
         case wire::LogRecord::kEdit:
             return apply_edit(offset, record.edit());
         case wire::LogRecord::kSnapshot:
-            return apply_snapshot(offset, record.snapshot());
+            return rejected("the record holds more than its snapshot");
         case wire::LogRecord::kSlots:
             return apply_slots(offset, record.slots());
         case wire::LogRecord::RECORD_NOT_SET:
@@ -169,31 +173,35 @@
     return result;
 }
 
-apply_result table_replica::apply_snapshot(std::uint64_t offset, const wire::Snapshot& snapshot) {
-    if (snapshot.as_of() > offset) {
-        return rejected("the snapshot claims to reflect records after its own offset");
-    }
-    return adopt_snapshot(snapshot);
+apply_result table_replica::adopt_snapshot(std::string_view snapshot) {
+    return adopt(snapshot, std::numeric_limits<std::uint64_t>::max());
 }
 
-apply_result table_replica::adopt_snapshot(const wire::Snapshot& snapshot) {
-    if (snapshot.as_of() <= as_of_) {
+apply_result table_replica::adopt(std::string_view snapshot, std::uint64_t max_as_of) {
+    const auto head = read_snapshot_head(snapshot);
+    if (!head) {
+        return rejected("the snapshot is not valid protobuf");
+    }
+    if (head->as_of() > max_as_of) {
+        return rejected("the snapshot claims to reflect records after its own offset");
+    }
+    if (head->as_of() <= as_of_) {
         return ignored("the snapshot reflects no more of the log than this replica");
     }
-    if (snapshot.version() < version()) {
+    if (head->version() < version()) {
         return ignored("the snapshot has an older version");
     }
-    if (snapshot.version() > snapshot.as_of()) {
+    if (head->version() > head->as_of()) {
         return rejected("the snapshot's version is above its as_of");
     }
     std::vector<table_issue> issues;
-    table value = parse_snapshot_rows(snapshot, issues);
+    table value = read_snapshot_rows(snapshot, head->version(), issues);
     if (!issues.empty()) {
         return rejected("invalid_table: " + to_string(issues));
     }
     apply_result result;
     result.outcome = record_outcome::adopted;
-    restore(snapshot, std::move(value), result);
+    restore(*head, std::move(value), result);
     return result;
 }
 
--- a/servers/table/table_replica.h
+++ b/servers/table/table_replica.h
@@ -82,8 +82,9 @@
 
     [[nodiscard]] const slot_assignments& slots() const { return slots_; }
 
-    /// The state for other replicas; true at any time, also while records are missing.
-    [[nodiscard]] wire::Snapshot make_snapshot() const;
+    /// The state for other replicas, as the bytes of a wire::Snapshot; true at any time, also while
+    /// records are missing. The log takes it as encode_snapshot_record().
+    [[nodiscard]] std::string make_snapshot() const;
 
     /// Every processed record from the offset on, for a peer that is complete up to there; a version is
     /// such an offset too. Empty when the records are no longer kept: the peer then needs a snapshot.
@@ -98,13 +99,14 @@
     /// Tells that the log no longer has records below `first_offset`.
     void skip_truncated(std::uint64_t first_offset);
 
-    /// Takes over the state of a snapshot from a peer when it reflects more of the log.
-    apply_result adopt_snapshot(const wire::Snapshot& snapshot);
+    /// Takes over the state of a snapshot from a peer, as the bytes of a wire::Snapshot, when it reflects
+    /// more of the log.
+    apply_result adopt_snapshot(std::string_view snapshot);
 
 private:
     apply_result apply_edit(std::uint64_t offset, const wire::TableEdit& edit);
     apply_result apply_slots(std::uint64_t offset, const wire::SlotChange& change);
-    apply_result apply_snapshot(std::uint64_t offset, const wire::Snapshot& snapshot);
+    apply_result adopt(std::string_view snapshot, std::uint64_t max_as_of);
     apply_result apply_parsed(std::uint64_t offset, const wire::LogRecord& record);
     std::string judge_edit(const wire::TableEdit& edit, std::uint64_t version, table& next) const;
     void restore(const wire::Snapshot& snapshot, table value, apply_result& result);
--- a/servers/table/table_validation.cpp
+++ b/servers/table/table_validation.cpp
@@ -1,5 +1,6 @@
 #include "servers/table/table_validation.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <string_view>
@@ -58,9 +59,7 @@
 
 template <typename Row>
 void check_all(const table& value, issue_list& issues) {
-    for (const Row* row : value.rows<Row>().sorted()) {
-        check(value, *row, issues);
-    }
+    value.rows<Row>().for_each([&](const Row& row) { check(value, row, issues); });
 }
 
 template <typename Row>
@@ -103,13 +102,15 @@
     check_all<service_row>(value, issues);
     check_all<route_row>(value, issues);
     check_all<account_row>(value, issues);
-    std::string_view previous;
-    for (const service_row* row : value.services().sorted()) {
-        if (row->service != previous) {
-            check_weight(value, row->service, issues);
-            previous = row->service;
-        }
+    std::set<std::string_view> services;
+    value.services().for_each([&services](const service_row& row) { services.insert(row.service); });
+    for (const std::string_view service : services) {
+        check_weight(value, service, issues);
     }
+    // Every reader gives the same reason for the same rows.
+    std::sort(issues.begin(), issues.end(), [](const table_issue& left, const table_issue& right) {
+        return std::tie(left.kind, left.key, left.column) < std::tie(right.kind, right.key, right.column);
+    });
     return issues;
 }
 
--- a/tests/drivers/log/log_follower_test.cpp
+++ b/tests/drivers/log/log_follower_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "drivers/log/log_client.h"
+#include "servers/table/snapshot_codec.h"
 #include "tests/drivers/log/running_log.h"
 #include "tests/servers/table/rows_for_tests.h"
 
@@ -104,7 +105,7 @@
     table_replica other;
     other.apply(0, edit("e1", 0));
     other.apply(1, edit("e2", 1));
-    const std::string snapshot = encode_record(other.make_snapshot());
+    const std::string snapshot = encode_snapshot_record(other.make_snapshot());
     log.answer(2, 4, 2, {edit("e3", 2), snapshot});
     log.answer(2, 4, 2, {edit("e3", 2), snapshot});
     BOOST_TEST(read().ok());
--- a/tests/servers/table/replica_property_test.cpp
+++ b/tests/servers/table/replica_property_test.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "servers/table/edit_publisher.h"
+#include "servers/table/snapshot_codec.h"
 #include "servers/table/table_replica.h"
 #include "tests/servers/table/rows_for_tests.h"
 
@@ -42,9 +43,7 @@
     [[nodiscard]] const std::string& state(std::uint64_t as_of) const { return states_[as_of]; }
     [[nodiscard]] const table_replica& observer() const { return observer_; }
 
-    static std::string state_of(const table_replica& replica) {
-        return replica.make_snapshot().SerializeAsString();
-    }
+    static std::string state_of(const table_replica& replica) { return replica.make_snapshot(); }
 
 private:
     table_replica observer_;
@@ -86,7 +85,7 @@
             case 5:
                 return change_slot(op);
             case 6:
-                log_.append(encode_record(nodes_[op.actor].make_snapshot()));
+                log_.append(encode_snapshot_record(nodes_[op.actor].make_snapshot()));
                 return;
             case 7:
                 nodes_[op.actor].adopt_snapshot(nodes_[op.argument % replicas].make_snapshot());
@@ -118,7 +117,7 @@
             log_.append(std::move(record));
         }
         read_to_end(0);
-        log_.append(encode_record(nodes_[0].make_snapshot()));
+        log_.append(encode_snapshot_record(nodes_[0].make_snapshot()));
         for (std::size_t i = 0; i < replicas; ++i) {
             read_to_end(i);
             check();
--- a/tests/servers/table/table_replica_test.cpp
+++ b/tests/servers/table/table_replica_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "servers/table/snapshot_codec.h"
 #include "servers/table/table_csv.h"
 #include "tests/servers/table/rows_for_tests.h"
 
@@ -23,20 +24,24 @@
 
 const std::string first_edit = encode_record(make_edit("e1", 0, {set_service("limits")}));
 
-std::string snapshot_record(std::uint64_t version, std::uint64_t as_of, const std::string& service = "old") {
+std::string peer_snapshot(std::uint64_t version, std::uint64_t as_of) {
     wire::Snapshot snapshot;
     snapshot.set_version(version);
     snapshot.set_as_of(as_of);
-    *snapshot.add_rows() = to_wire(set_service(service).row);
-    return encode_record(snapshot);
+    *snapshot.add_rows() = to_wire(set_service("old").row);
+    return snapshot.SerializeAsString();
 }
 
-std::string bad_snapshot_record() {
+std::string snapshot_record(std::uint64_t version, std::uint64_t as_of) {
+    return encode_snapshot_record(peer_snapshot(version, as_of));
+}
+
+std::string bad_snapshot() {
     wire::Snapshot snapshot;
     snapshot.set_version(1);
     snapshot.set_as_of(1);
     *snapshot.add_rows() = to_wire(set_route("*", "/", "unknown").row);
-    return encode_record(snapshot);
+    return snapshot.SerializeAsString();
 }
 
 struct record_case {
@@ -154,15 +159,10 @@
 // Guards against a peer's snapshot that takes a node back to an older version, or that is invalid.
 BOOST_AUTO_TEST_CASE(snapshots_of_peers_never_go_back) {
     table_replica replica;
-    wire::LogRecord record;
-    record.ParseFromString(snapshot_record(5, 8));
-    BOOST_TEST(replica.adopt_snapshot(record.snapshot()).outcome == record_outcome::adopted);
-    record.ParseFromString(snapshot_record(4, 9));
-    BOOST_TEST(replica.adopt_snapshot(record.snapshot()).outcome == record_outcome::ignored);
-    record.ParseFromString(snapshot_record(5, 7));
-    BOOST_TEST(replica.adopt_snapshot(record.snapshot()).outcome == record_outcome::ignored);
-    record.ParseFromString(bad_snapshot_record());
-    BOOST_TEST(table_replica().adopt_snapshot(record.snapshot()).outcome == record_outcome::rejected);
+    BOOST_TEST(replica.adopt_snapshot(peer_snapshot(5, 8)).outcome == record_outcome::adopted);
+    BOOST_TEST(replica.adopt_snapshot(peer_snapshot(4, 9)).outcome == record_outcome::ignored);
+    BOOST_TEST(replica.adopt_snapshot(peer_snapshot(5, 7)).outcome == record_outcome::ignored);
+    BOOST_TEST(table_replica().adopt_snapshot(bad_snapshot()).outcome == record_outcome::rejected);
     BOOST_TEST(replica.version() == 5);
     BOOST_TEST(replica.next_offset() == 8);
 }
@@ -175,7 +175,7 @@
     first.apply(2, encode_record(make_slot_change(0, "a", "b", "a")));
     table_replica second;
     second.adopt_snapshot(first.make_snapshot());
-    BOOST_TEST(second.make_snapshot().SerializeAsString() == first.make_snapshot().SerializeAsString());
+    BOOST_TEST(second.make_snapshot() == first.make_snapshot());
     BOOST_TEST(write_table_csv(*second.current()) == write_table_csv(*first.current()));
     BOOST_TEST((*second.find_edit("e2") == *first.find_edit("e2")));
     BOOST_TEST(second.slots().find("limits", 3)->epoch == 3U);
@@ -202,7 +202,7 @@
     table_replica replica;
     replica.apply(0, first_edit);
     replica.apply(1, edit("e2", 1, {set_service("claims")}));
-    replica.apply(2, replica.make_snapshot().SerializeAsString());
+    replica.apply(2, encode_snapshot_record(replica.make_snapshot()));
     table_replica peer;
     peer.apply(0, first_edit);
     const auto records = replica.records_since(peer.next_offset());
