--- a/main/ctl/publish_run.cpp
+++ b/main/ctl/publish_run.cpp
@@ -137,7 +137,7 @@
 
 }  // namespace
 
-void publish_table(ctl_context& context, log_session& session, std::shared_ptr<const table> base,
+void publish_table(ctl_context& context, log_session& session, const std::shared_ptr<const table>& base,
                    const table& wanted, const publish_options& options, const std::string& kept_in) {
     if (options.wait && context.nodes.empty()) {
         fail(context, exit_status::bad_usage, "--wait needs --node ADDRESS:PORT; nothing was published");
--- a/main/ctl/publish_run.h
+++ b/main/ctl/publish_run.h
@@ -18,7 +18,7 @@
 
 /// Publishes the rows of `wanted` as one edit on `base`, prints the verdict and sets the exit status.
 /// `kept_in` names the file that still holds the edit, or is empty.
-void publish_table(ctl_context& context, log_session& session, std::shared_ptr<const table> base,
+void publish_table(ctl_context& context, log_session& session, const std::shared_ptr<const table>& base,
                    const table& wanted, const publish_options& options, const std::string& kept_in);
 
 }  // namespace teaselpitch
--- a/tests/servers/table/table_replica_test.cpp
+++ b/tests/servers/table/table_replica_test.cpp
@@ -167,6 +167,28 @@
     BOOST_TEST(replica.next_offset() == 8);
 }
 
+// Guards against bytes of a snapshot that stop a reader or are adopted in part.
+BOOST_AUTO_TEST_CASE(a_snapshot_that_is_cut_off_is_refused) {
+    table_replica source;
+    source.apply(0, edit("e1", 0, {set_service("limits"), set_route("*", "/x", "limits")}));
+    const std::string whole = source.make_snapshot();
+    wire::Snapshot parsed;
+    BOOST_REQUIRE(parsed.ParseFromString(whole));
+    BOOST_TEST((parsed.SerializeAsString() == whole));
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        table_replica replica;
+        const std::string part = whole.substr(0, size);
+        const apply_result result = replica.adopt_snapshot(part);
+        const bool parses = parsed.ParseFromString(part);
+        BOOST_TEST((result.outcome == record_outcome::adopted) <= parses);
+        BOOST_TEST(replica.apply(0, encode_snapshot_record(whole).substr(0, size + 2)).table_changed ==
+                   false);
+    }
+    table_replica replica;
+    BOOST_TEST(replica.adopt_snapshot(whole).outcome == record_outcome::adopted);
+    BOOST_TEST(replica.make_snapshot() == whole);
+}
+
 // Guards against a snapshot that forgets verdicts, so that a repeated append counts as a new edit.
 BOOST_AUTO_TEST_CASE(snapshots_carry_the_whole_state) {
     table_replica first;
