--- a/tests/servers/table/replica_property_test.cpp
+++ b/tests/servers/table/replica_property_test.cpp
@@ -58,8 +58,8 @@
     std::uint32_t argument = 0;
 };
 
-void showValue(const operation& value, std::ostream& out) {
-    out << "{" << value.type << ", " << value.actor << ", " << value.argument << "}";
+std::ostream& operator<<(std::ostream& out, const operation& value) {
+    return out << "{" << value.type << ", " << value.actor << ", " << value.argument << "}";
 }
 
 struct publication {
