--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds membership_tick{50};
 constexpr std::chrono::milliseconds ejector_tick{100};
 constexpr std::chrono::milliseconds second_tick{1'000};
+// Short against the retention of a log, and 1,440 records a day for the whole fleet.
+constexpr std::chrono::milliseconds snapshot_tick{60'000};
 constexpr std::chrono::milliseconds call_timeout{1'000};
 constexpr std::chrono::milliseconds hand_over_timeout{5'000};
 // A read of the log older than this makes holders ask their candidates for promises.
@@ -27,7 +29,6 @@
 constexpr std::string_view verdict_method = "verdict";
 constexpr std::string_view promise_method = "promise";
 constexpr std::string_view hand_over_method = "hand_over";
-constexpr std::string_view table_method = "table";
 
 slot_settings slot_settings_of(const node_settings& settings) {
     return {.lease = settings.claim_lease,
@@ -95,6 +96,7 @@
           "membership_tick");
     spawn(every(ejector_tick, [this] { context_.services.on_tick(); }), "ejector_tick");
     spawn(every(second_tick, [this] { on_second(); }), "second_tick");
+    spawn(every(snapshot_tick, [this] { publish_snapshot(); }), "snapshot_tick");
 }
 
 void control_plane::on_judge_tick() {
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -53,6 +53,8 @@
     [[nodiscard]] const log_follower& follower() const { return follower_; }
 
 private:
+    static constexpr std::string_view table_method = "table";
+
     void spawn(awaitable<void> task, std::string_view name);
     awaitable<void> every(std::chrono::milliseconds period, std::function<void()> work);
     void start_timers();
@@ -67,6 +69,8 @@
     awaitable<void> fetch_table();
     awaitable<void> fetch_table_from(endpoint peer);
     absl::StatusOr<std::string> answer_table(std::string_view payload) const;
+    /// Appends a snapshot when the log has grown, so that retention may drop the records before it.
+    void publish_snapshot();
 
     // The other nodes.
     void on_nodes_changed();
@@ -94,6 +98,7 @@
     bool nodes_changed_ = true;
     std::map<std::string, double> spread_badness_;  ///< Verdicts that the other nodes know, by target.
     std::uint64_t verdict_sequence_ = 0;
+    std::uint64_t published_as_of_ = 0;  ///< End of the log behind the snapshot that this node appended last.
 };
 
 }  // namespace teaselpitch
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -1,16 +1,17 @@
 // The part of the control plane that concerns the log, the table and the slots.
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 #include "core/event_log.h"
 #include "modules/node/control_plane.h"
+#include "servers/table/snapshot_codec.h"
 
 namespace teaselpitch {
 namespace {
 
 constexpr std::chrono::milliseconds table_timeout{2'000};
-constexpr std::string_view table_method = "table";
 
 }  // namespace
 
@@ -77,11 +78,10 @@
 awaitable<void> control_plane::fetch_table_from(endpoint peer) {
     std::string known = std::to_string(replica_.as_of());
     const auto answer = co_await peers_.call(peer, table_method, std::move(known), table_timeout);
-    wire::Snapshot snapshot;
-    if (!answer.ok() || answer->empty() || !snapshot.ParseFromString(*answer)) {
+    if (!answer.ok() || answer->empty()) {
         co_return;
     }
-    const apply_result adopted = replica_.adopt_snapshot(snapshot);
+    const apply_result adopted = replica_.adopt_snapshot(*answer);
     if (!adopted.new_slots.empty()) {
         claims_.on_assignments(replica_.slots(), adopted.new_slots);
     }
@@ -90,12 +90,25 @@
     }
 }
 
+void control_plane::publish_snapshot() {
+    const auto nodes = context_.nodes.read();
+    const bool is_first = std::none_of(
+        nodes->begin(), nodes->end(), [this](const auto& entry) { return entry.first < context_.self.name; });
+    // One node is enough; two with different views only append one snapshot too many.
+    if (!is_first || !replica_.complete() || replica_.as_of() == published_as_of_) {
+        return;
+    }
+    // The snapshot's own record advances the log by one, which is no reason for another snapshot.
+    published_as_of_ = replica_.as_of() + 1;
+    spawn(append(encode_snapshot_record(replica_.make_snapshot())), "append_snapshot");
+}
+
 absl::StatusOr<std::string> control_plane::answer_table(std::string_view payload) const {
     // The question is how far the asker has read; an empty answer says that this node knows no more.
     if (std::string(payload) == std::to_string(replica_.as_of())) {
         return std::string();
     }
-    return replica_.make_snapshot().SerializeAsString();
+    return replica_.make_snapshot();
 }
 
 }  // namespace teaselpitch
--- a/tests/drivers/http/fake_target.h
+++ b/tests/drivers/http/fake_target.h
@@ -65,8 +65,7 @@
 }
 
 /// Lets other coroutines of the context run until the condition holds.
-template <typename Condition>
-awaitable<void> wait_until(Condition condition) {
+inline awaitable<void> wait_until(std::function<bool()> condition) {
     net::steady_timer timer(co_await net::this_coro::executor);
     while (!condition()) {
         timer.expires_after(std::chrono::milliseconds(1));
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -38,8 +38,8 @@
             if (tried.size() == 3) {
                 chosen.refused = {error_kind::no_target, "all tried", std::nullopt};
             } else {
-                chosen.choice =
-                    route_choice{{"t" + std::to_string(tried.size() + 1), 1}, "n1", true, {}, "test"};
+                chosen.choice = route_choice{
+                    {"t" + std::to_string(tried.size() + 1), 1}, "n1", true, {}, "test", nullptr};
             }
             return chosen;
         };
--- a/tests/servers/membership/registry_test.cpp
+++ b/tests/servers/membership/registry_test.cpp
@@ -127,8 +127,9 @@
     BOOST_TEST((state_at(targets, "t1") == announced_state::ready));
     targets.on_node({"b", 200}, true);
     BOOST_TEST((state_at(targets, "t1") == announced_state::gone));
-    const std::vector<announced_state> expected{announced_state::gone, announced_state::ready, announced_state::gone,
-                                             announced_state::ready, announced_state::gone};
+    const std::vector<announced_state> expected{announced_state::gone, announced_state::ready,
+                                                announced_state::gone, announced_state::ready,
+                                                announced_state::gone};
     BOOST_TEST((told == expected));
 }
 
