Attribute stored error answers to the key of their send

Change: the key of an answer without one is that of the send whose call id it carries; an answer for another key or an unknown call stays a violation.

--- a/main/load/load_run.cpp
+++ b/main/load/load_run.cpp
@@ -191,6 +191,7 @@
         return control.failure;
     }
     result.recorded.calls = std::move(calls.calls);
+    resolve_answer_keys(result.recorded.calls);
     if (const absl::Status collected = collect_executions(options, result.recorded); !collected.ok()) {
         return collected;
     }
--- a/main/load/run_records.cpp
+++ b/main/load/run_records.cpp
@@ -1,6 +1,7 @@
 #include "main/load/run_records.h"
 
 #include <sstream>
+#include <unordered_map>
 
 #include "core/json.h"
 
@@ -96,4 +97,17 @@
     return absl::OkStatus();
 }
 
+void resolve_answer_keys(std::vector<call_record>& calls) {
+    std::unordered_map<std::string, std::string> keys;
+    for (const call_record& call : calls) {
+        keys.emplace(call.call_id, call.idempotency_key);
+    }
+    for (call_record& call : calls) {
+        const auto sender = keys.find(call.answer_for);
+        if (call.answer_key.empty() && sender != keys.end()) {
+            call.answer_key = sender->second;
+        }
+    }
+}
+
 }  // namespace teaselpitch
--- a/main/load/run_records.h
+++ b/main/load/run_records.h
@@ -3,6 +3,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "modules/history/history.h"
@@ -20,4 +21,8 @@
 /// announced, stopped), times in microseconds of the monotonic clock.
 absl::Status add_events(std::string_view lines, history& into);
 
+/// Fills the echoed key of answers that name another send of this run but don't repeat its key, as error
+/// answers of the stand-in do. A stored answer of a key carries the call id of the send that ran.
+void resolve_answer_keys(std::vector<call_record>& calls);
+
 }  // namespace teaselpitch
