--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -52,7 +52,8 @@
 };
 
 struct membership_hooks {
-    /// A member joined, changed its state, or came back.
+    /// A member joined, changed its state, came back, or changed a detail such as draining; then the state
+    /// before and after are the same.
     std::function<void(const member_change&)> on_change;
     /// A fact about something other than a node. True means that it is news and is passed on.
     std::function<bool(const wire::Fact&)> on_fact;
@@ -107,7 +108,7 @@
     [[nodiscard]] std::vector<std::string> nodes_below(std::uint64_t version) const;
 
 private:
-    enum class probe_kind : std::uint8_t { member, dead };
+    enum class probe_kind : std::uint8_t { member, ring, dead };
     struct probe {
         std::string name;
         probe_kind kind = probe_kind::member;
@@ -136,6 +137,7 @@
     void probe_member(const member& target, probe_kind kind);
     const member* next_in_order();
     void check_probes();
+    void probe_behind(std::string_view name);
     void ask_others(const member& target, std::uint64_t sequence);
     void check_suspects();
     void contact_seeds();
