Apply the warm-up setting to the ejector and record ejected capacity of whole services

Floors of whole services have an empty zone in /v1/status, and the load generator recorded no ejected capacity for them, so the check of the floor could not fail. Change: the ejector gets the setting; an empty zone takes all ejected targets.

--- a/main/load/load_run.cpp
+++ b/main/load/load_run.cpp
@@ -140,7 +140,7 @@
         if (!reply.ok()) {
             return reply.status();
         }
-        if (const absl::Status added = add_executions(reply->body, target.name, into); !added.ok()) {
+        if (absl::Status added = add_executions(reply->body, target.name, into); !added.ok()) {
             return added;
         }
     }
@@ -192,7 +192,7 @@
     }
     result.recorded.calls = std::move(calls.calls);
     resolve_answer_keys(result.recorded.calls);
-    if (const absl::Status collected = collect_executions(options, result.recorded); !collected.ok()) {
+    if (absl::Status collected = collect_executions(options, result.recorded); !collected.ok()) {
         return collected;
     }
     return result;
--- a/main/load/run_records.cpp
+++ b/main/load/run_records.cpp
@@ -20,7 +20,8 @@
         ejected.emplace(target.at("name").as_string());
         const json::value* target_zone = target.if_contains("zone");
         const json::value* count = target.if_contains("slots");
-        if (zone == "*" || (target_zone != nullptr && target_zone->as_string() == zone)) {
+        // A rule without a zone holds for the whole service.
+        if (zone.empty() || (target_zone != nullptr && target_zone->as_string() == zone)) {
             slots += count == nullptr ? 1 : count->to_number<double>();
         }
     }
--- a/modules/node/service_router.cpp
+++ b/modules/node/service_router.cpp
@@ -37,7 +37,7 @@
     : service_(std::move(service)),
       decisions_(decisions),
       shares_changed_(std::move(shares_changed)),
-      ejector_(clock, ejector_options{}),
+      ejector_(clock, ejector_options{.states = {.warm_up = options.warm_up}}),
       chooser_(clock, std::move(options), seed),
       retries_(clock, retry_options{}),
       node_by_target_(std::make_shared<const name_map<std::string>>()) {}
--- a/tests/main/load/run_records_test.cpp
+++ b/tests/main/load/run_records_test.cpp
@@ -42,7 +42,7 @@
     R"({"node":"a-1","incarnation":7,"table_version":3,"services":[{"name":"s","targets":[)"
     R"({"name":"t1","state":"ejected","zone":"x","slots":4},{"name":"t2","state":"healthy","zone":"x","slots":4},)"
     R"({"name":"t3","state":"ejected","zone":"y","slots":2}],"floors":[)"
-    R"({"zone":"*","registered":10,"in_service":4,"required":6},)"
+    R"({"zone":"","registered":10,"in_service":4,"required":6},)"
     R"({"zone":"x","registered":8,"in_service":4,"required":4}]}]})";
 
 BOOST_AUTO_TEST_SUITE(run_records_tests)
--- /dev/null
+++ b/tests/modules/node/service_router_test.cpp
@@ -0,0 +1,37 @@
+#include "modules/node/service_router.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace teaselpitch {
+namespace {
+
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(service_router_tests)
+
+// Guards against a warm-up setting that the chooser follows and the ejector ignores: the floor would count no
+// target as in service for 10 s, and no gray target would be ejected in that time.
+BOOST_DATA_TEST_CASE(the_ejector_follows_the_warm_up_setting, boost::unit_test::data::make({1, 3, 20}),
+                     seconds) {
+    manual_time_source clock;
+    decision_log decisions(clock, 16);
+    const std::chrono::seconds warm_up(seconds);
+    service_router router(clock, "vitrine", {.own_zone = "caxias", .warm_up = warm_up}, 1, decisions, [] {});
+    router.on_rules({.zones = {{.zone = "", .floor_share = 0.6}}});
+    registered_target target{.identity = {"a", 1}, .node = "caxias-1", .zone = "caxias", .slots = 4};
+    target.ready_since = clock.now();
+    router.on_targets({target});
+    clock.advance(warm_up - 100ms);
+    router.on_tick();
+    BOOST_TEST(router.ejections().floors().at(0).in_service == 0);
+    clock.advance(200ms);
+    router.on_tick();
+    BOOST_TEST(router.ejections().floors().at(0).in_service == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselpitch
