--- a/main/load/call_sender.cpp
+++ b/main/load/call_sender.cpp
@@ -45,19 +45,19 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    endpoint peer;
+    std::size_t caller = 0;  // Index of its listener.
 };
 
 call_sender::call_sender(net::any_io_executor executor, const load_options& options)
-    : executor_(std::move(executor)), options_(options) {}
+    : executor_(std::move(executor)), options_(options), idle_(options.callers.size()) {}
 
 call_sender::~call_sender() = default;
 
 awaitable<std::unique_ptr<call_sender::connection>> call_sender::connect(std::size_t caller,
                                                                          steady_time deadline) {
     for (std::size_t tried = 0; tried < options_.callers.size(); ++tried) {
-        const endpoint& peer = options_.callers.at((caller + tried) % options_.callers.size());
-        auto& idle = idle_[peer];
+        const std::size_t listener = (caller + tried) % options_.callers.size();
+        auto& idle = idle_[listener];
         if (!idle.empty()) {
             std::unique_ptr<connection> kept = std::move(idle.back());
             idle.pop_back();
@@ -65,9 +65,9 @@
             co_return kept;
         }
         auto fresh = std::make_unique<connection>(executor_);
-        fresh->peer = peer;
+        fresh->caller = listener;
         fresh->stream.expires_at(deadline);
-        const absl::StatusOr<tcp::endpoint> address = to_tcp_endpoint(peer);
+        const absl::StatusOr<tcp::endpoint> address = to_tcp_endpoint(options_.callers[listener]);
         const auto [error] = co_await fresh->stream.async_connect(*address, tuple_awaitable);
         if (!error) {
             co_return fresh;
@@ -98,7 +98,7 @@
                 judge_answer(request, reply_of(parser.release()), call);
                 if (keep) {
                     used->stream.expires_never();
-                    idle_[used->peer].push_back(std::move(used));
+                    idle_[used->caller].push_back(std::move(used));
                 }
             }
         }
--- a/main/load/call_sender.h
+++ b/main/load/call_sender.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -28,7 +27,7 @@
 
     boost::asio::any_io_executor executor_;
     const load_options& options_;
-    std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle_;
+    std::vector<std::vector<std::unique_ptr<connection>>> idle_;  // By the index of the listener.
 };
 
 /// Microseconds of the machine's monotonic clock.
