--- a/modules/burn/burn_report.h
+++ b/modules/burn/burn_report.h
@@ -30,7 +30,7 @@
 struct burn_row {
     std::string service;
     std::string availability_zone;  ///< "*" is the sum of all availability zones.
-    std::chrono::minutes window;
+    std::chrono::minutes window{0};
     outcome_counts counts{};
     std::uint64_t total = 0;  ///< Answers that count: all but the callers' own faults.
     std::uint64_t bad = 0;    ///< Answers that use the error budget.
--- a/modules/proxy/waiter_table.h
+++ b/modules/proxy/waiter_table.h
@@ -23,7 +23,7 @@
 template <typename Event>
 class waiter_table {
     struct waiter {
-        explicit waiter(boost::asio::any_io_executor executor)
+        explicit waiter(const boost::asio::any_io_executor& executor)
             : timer(executor, boost::asio::steady_timer::time_point::max()) {}
         boost::asio::steady_timer timer;  ///< Only a signal; it never expires by itself.
         std::optional<Event> event;       ///< Set on the waiter's own executor.
