--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -240,11 +240,13 @@
     nodes_changed_ = false;
     node_directory directory = fleet_.directory();
     std::vector<node_identity> alive;
+    alive.reserve(directory.size());
     for (const auto& [name, address] : directory) {
         alive.push_back(address.identity);
     }
     claims_.on_alive_nodes(alive);
     std::vector<std::string> names;
+    names.reserve(alive.size());
     for (const node_identity& node : alive) {
         names.push_back(node.name);
     }
@@ -276,6 +278,7 @@
         }
     }
     std::vector<node_place> list;
+    list.reserve(places.size());
     for (auto& [name, place] : places) {
         list.push_back(std::move(place));
     }
--- a/tests/drivers/http/caller_exchange_test.cpp
+++ b/tests/drivers/http/caller_exchange_test.cpp
@@ -109,8 +109,8 @@
             head.status = 200;
             head.reason = "OK";
             head.content_length = expected.length;
-            co_await writer.write_head(head);
-            co_await writer.write_body(bytes_of(expected.written));
+            (void)co_await writer.write_head(head);
+            (void)co_await writer.write_body(bytes_of(expected.written));
             writer.abort();
             exchange_result result = failed_exchange(error_kind::answer_broken, "");
             result.head_written = true;
@@ -235,8 +235,8 @@
         answer.status = head.path == "/204" ? 204 : 304;
         answer.reason = "none";
         answer.has_body = false;
-        co_await writer.write_head(answer);
-        co_await writer.finish();
+        (void)co_await writer.write_head(answer);
+        (void)co_await writer.finish();
         exchange_result result;
         result.head_written = true;
         co_return result;
--- a/tests/drivers/http/http_fixture.h
+++ b/tests/drivers/http/http_fixture.h
@@ -97,11 +97,11 @@
     answer_head.content_length = answer.size();
     answer_head.has_body = head.method != "HEAD";
     answer_head.target = "t1";
-    co_await writer.write_head(answer_head);
+    (void)co_await writer.write_head(answer_head);
     if (answer_head.has_body) {
-        co_await writer.write_body(bytes_of(answer));
+        (void)co_await writer.write_body(bytes_of(answer));
     }
-    co_await writer.finish();
+    (void)co_await writer.finish();
     exchange_result result;
     result.head_written = true;
     co_return result;
--- a/tests/drivers/http/streaming_test.cpp
+++ b/tests/drivers/http/streaming_test.cpp
@@ -51,7 +51,7 @@
     if (sized) {
         head.content_length = body_size;
     }
-    co_await writer.write_head(head);
+    (void)co_await writer.write_head(head);
     for (std::size_t sent = 0; sent < body_size; sent += piece_size) {
         const std::string piece = body_piece(sent, piece_size);
         const absl::Status status = co_await writer.write_body(bytes_of(piece));
@@ -60,7 +60,7 @@
             break;
         }
     }
-    co_await writer.finish();
+    (void)co_await writer.finish();
     exchange_result result;
     result.head_written = true;
     co_return result;
@@ -84,9 +84,9 @@
     head.reason = "OK";
     const std::string answer = std::to_string(check.total) + (check.good ? " good" : " bad");
     head.content_length = answer.size();
-    co_await writer.write_head(head);
-    co_await writer.write_body(bytes_of(answer));
-    co_await writer.finish();
+    (void)co_await writer.write_head(head);
+    (void)co_await writer.write_body(bytes_of(answer));
+    (void)co_await writer.finish();
     exchange_result result;
     result.head_written = true;
     co_return result;
--- a/tests/main/ctl/table_commands_test.cpp
+++ b/tests/main/ctl/table_commands_test.cpp
@@ -64,6 +64,7 @@
     };
     const std::vector<std::string> files{file("ana.csv", 10), file("bia.csv", 20)};
     std::vector<std::future<ctl_result>> running;
+    running.reserve(files.size());
     for (const std::string& path : files) {
         running.push_back(std::async(std::launch::async, [this, path] {
             return table_command({"publish", path, "--author", path});
--- a/tests/modules/proxy/gate_test.cpp
+++ b/tests/modules/proxy/gate_test.cpp
@@ -57,8 +57,8 @@
         co_await place.wait();
         response_head answer;
         answer.status = 200;
-        co_await writer.write_head(answer);
-        co_await writer.finish();
+        (void)co_await writer.write_head(answer);
+        (void)co_await writer.finish();
         co_return exchange_result{};
     }
 
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -70,8 +70,8 @@
         }
         response_head head;
         head.status = 200;
-        co_await writer.write_head(head);
-        co_await writer.finish();
+        (void)co_await writer.write_head(head);
+        (void)co_await writer.finish();
         co_return exchange_result{};
     }
 };
