Let a verdict wait for the reports of the other targets

Cause: when the answers to a suspicious summary are late or lost, the judge compared a general slow-down with an old baseline after the short confirmation time. The fixture of target_judge_test sends the baseline every 100 ms while the judge is suspicious, as the gates do; the bounds stay. A new test covers the wait and its end.

--- a/servers/health/detection_policy.h
+++ b/servers/health/detection_policy.h
@@ -24,6 +24,8 @@
     /// Time for which the evidence must stand, so that reports of the other targets about a general
     /// slow-down arrive first.
     std::chrono::milliseconds confirmation{100};
+    /// The same while no report of the other targets has arrived since the evidence sufficed.
+    std::chrono::milliseconds unanswered_confirmation{400};
     /// Concurrent requests of the target; the least evidence is never above it.
     std::uint32_t slots = 4;
     /// Age at which evidence counts half.
--- a/servers/health/target_judge.cpp
+++ b/servers/health/target_judge.cpp
@@ -285,7 +285,11 @@
     } else if (!enough_since_) {
         enough_since_ = now;
     }
-    next.confirming = enough_since_ && now - *enough_since_ < options_.confirmation;
+    if (enough_since_) {
+        const bool answered = baseline.own_past || others_at_ > *enough_since_;
+        const auto needed = answered ? options_.confirmation : options_.unanswered_confirmation;
+        next.confirming = now - *enough_since_ < needed;
+    }
     next.badness = next.confirming ? unconfirmed : next.badness;
     latest_ = next;
 }
--- a/tests/servers/health/target_judge_test.cpp
+++ b/tests/servers/health/target_judge_test.cpp
@@ -21,12 +21,24 @@
 struct judge_fixture {
     manual_time_source clock;
     target_judge subject;
+    service_baseline baseline = normal;  // The other gates answer a suspicious summary every 100 ms.
     std::mt19937_64 random{11};
     std::uint64_t next = 1;
 
     explicit judge_fixture(detection_policy policy, std::uint32_t slots = 7)
         : subject(clock, "t", options_for(policy, slots)) {
-        subject.on_baseline(normal);
+        set_baseline(normal);
+    }
+    void set_baseline(const service_baseline& next_baseline) {
+        baseline = next_baseline;
+        subject.on_baseline(baseline);
+    }
+    void tick() {
+        clock.advance(10ms);
+        if (subject.suspicious() && clock.now().time_since_epoch() % 100ms == 0ms) {
+            subject.on_baseline(baseline);
+        }
+        subject.on_tick();
     }
     // One request after another, 100 a second, each with a log-normal latency around the given one.
     void work(int requests, double failing, std::chrono::milliseconds latency) {
@@ -35,15 +47,13 @@
         for (int i = 0; i < requests; ++i) {
             subject.on_start(next);
             const auto took = std::chrono::duration_cast<std::chrono::nanoseconds>(latency * spread(random));
-            clock.advance(10ms);
+            tick();
             subject.on_end(next++, fails(random) ? work_outcome::failure : work_outcome::success, took);
-            subject.on_tick();
         }
     }
     void wait(std::chrono::milliseconds time) {
         for (; time > 0ms; time -= 10ms) {
-            clock.advance(10ms);
-            subject.on_tick();
+            tick();
         }
     }
 };
@@ -104,10 +114,10 @@
 // Guards against the ejection of a target that is no worse than the others.
 BOOST_DATA_TEST_CASE(no_worse_than_the_others_is_healthy, boost::unit_test::data::make(quiet), item) {
     judge_fixture f(detection_policy::fast);
-    f.subject.on_baseline(item.baseline);
+    f.set_baseline(item.baseline);
     for (int second = 0; second < 100; ++second) {
         f.work(100, item.failing, item.latency);
-        f.subject.on_baseline(item.baseline);
+        f.set_baseline(item.baseline);
         BOOST_TEST_REQUIRE(f.subject.badness() < 1.0);
     }
 }
@@ -118,7 +128,7 @@
     f.work(100, 0.0, 10ms);
     f.work(50, 0.0, 100ms);
     BOOST_TEST(f.subject.badness() >= 1.0);
-    f.subject.on_baseline(quiet[2].baseline);
+    f.set_baseline(quiet[2].baseline);
     BOOST_TEST(f.subject.badness() < 0.3);
 }
 
@@ -145,6 +155,26 @@
     BOOST_TEST(f.subject.explain().overdue == item.slots);
 }
 
+// Guards against an ejection in a general slow-down whose reports are late, and against a fault that is never
+// reported because the other gates cannot be heard.
+BOOST_AUTO_TEST_CASE(verdict_waits_for_the_others_but_not_for_ever) {
+    manual_time_source clock;
+    const judge_options options = options_for(detection_policy::fast, 7);
+    target_judge subject(clock, "t", options);
+    subject.on_baseline(normal);
+    for (std::uint64_t request = 1; request <= 20; ++request) {
+        subject.on_start(request);
+        subject.on_end(request, work_outcome::failure, 1ms);
+    }
+    clock.advance(options.confirmation);
+    subject.on_tick();
+    BOOST_TEST(subject.badness() < 1.0);
+    BOOST_TEST(subject.explain().confirming);
+    clock.advance(options.unanswered_confirmation - options.confirmation);
+    subject.on_tick();
+    BOOST_TEST(subject.badness() >= 1.0);
+}
+
 // Guards against an ejection because of one long request while others succeed.
 BOOST_AUTO_TEST_CASE(one_long_request_is_no_evidence) {
     judge_fixture f(detection_policy::fast);
@@ -157,7 +187,7 @@
 // Guards against a target alone in its service that is never judged for its latency.
 BOOST_AUTO_TEST_CASE(lone_target_is_compared_with_its_own_past) {
     judge_fixture f(detection_policy::fast);
-    f.subject.on_baseline({});
+    f.set_baseline({});
     f.work(500, 0.02, 10ms);
     BOOST_TEST(f.subject.badness() < 0.3);
     BOOST_TEST(f.subject.explain().own_past);
