Reserve the limiters of a test

Cause: clang-tidy reports a vector that grows in a loop in limiter_test.cpp.

Change: the vector is reserved.

--- a/tests/servers/admission/limiter_test.cpp
+++ b/tests/servers/admission/limiter_test.cpp
@@ -180,6 +180,7 @@
     share_options options;
     share_allocator home(clock, options, [](const limit_key&) { return 20.0; });
     std::vector<std::unique_ptr<service_limiter>> nodes;
+    nodes.reserve(4);
     for (int i = 0; i < 4; ++i) {
         nodes.push_back(
             std::make_unique<service_limiter>(clock, options, "bne", [](const limit_key&) { return 20.0; }));
