Keep an unknown outcome when a later attempt was not run

The first attempt of an idempotent request ended unknown, the retry found the target refusing connections, and the ingress answered with the last attempt alone. Ruled out: the target client, whose own results were true for each attempt. Change: a failed request is not-run only when each of its attempts was.

--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -19,6 +19,16 @@
     return line;
 }
 
+// The answer after a failed attempt must hold for all attempts: when an earlier one may have run, a later
+// failure that is not-run in itself does not make the request not-run.
+exchange_result more_truthful(std::optional<exchange_result> earlier, exchange_result latest) {
+    const bool earlier_may_have_run = earlier && earlier->execution != execution_state::not_run;
+    if (earlier_may_have_run && latest.execution == execution_state::not_run) {
+        return std::move(*earlier);
+    }
+    return latest;
+}
+
 exchange_result refused_exchange(const refusal& refused) {
     exchange_result result = failed_exchange(refused.error, refused.detail);
     if (refused.retry_after) {
@@ -86,8 +96,10 @@
             // The failure of an earlier attempt says more than that no further target is left.
             co_return last ? std::move(*last) : refused_exchange(chosen.refused);
         }
-        last = co_await attempt_one(*chosen.choice, head, body, writer, state);
-        if (!may_try_again(head, *last, body, state)) {
+        exchange_result result = co_await attempt_one(*chosen.choice, head, body, writer, state);
+        const bool try_again = may_try_again(head, result, body, state);
+        last = more_truthful(std::move(last), std::move(result));
+        if (!try_again) {
             co_return std::move(*last);
         }
         body.rewind();
