--- a/tests/servers/table/table_validation_test.cpp
+++ b/tests/servers/table/table_validation_test.cpp
@@ -208,6 +208,7 @@
 // Guards against copies of a whole table for one changed row.
 BOOST_AUTO_TEST_CASE(versions_share_unchanged_rows) {
     std::vector<row_change> rows;
+    rows.reserve(5'000);
     for (int i = 0; i < 5'000; ++i) {
         rows.push_back(set_account("account-" + std::to_string(i), "*"));
     }
