Update only the baselines of the service whose digest arrived

Cause: each digest recomputed the medians of all guarded targets, 31 times the needed work for a node with 31 services. Change: health_exchange hands baselines to the judges of that service; target_keeper::on_baselines is gone.

--- a/modules/node/health_exchange.cpp
+++ b/modules/node/health_exchange.cpp
@@ -78,13 +78,16 @@
         summaries.push_back(from_wire(message));
     }
     entry_of(digest.service()).digest.on_summaries(digest.origin_node(), digest.sequence(), summaries);
-    update_baselines();
+    update_baselines(digest.service());
 }
 
-void health_exchange::update_baselines() {
-    context_.targets.on_baselines([this](const kept_target& target) {
-        return entry_of(target.guarded().service()).digest.baseline_without(target.guarded().identity().name);
-    });
+void health_exchange::update_baselines(const std::string& service) {
+    const service_digest& digest = entry_of(service).digest;
+    for (const auto& target : context_.targets.all()) {
+        if (target->guarded().service() == service) {
+            target->judge().on_baseline(digest.baseline_without(target->guarded().identity().name));
+        }
+    }
 }
 
 health_exchange::service_entry& health_exchange::entry_of(const std::string& service) {
--- a/modules/node/health_exchange.h
+++ b/modules/node/health_exchange.h
@@ -39,8 +39,6 @@
     /// Takes another gate's digest and returns the own one of that service.
     absl::StatusOr<std::string> answer(std::string_view payload);
     void take(const wire::ServiceDigest& digest);
-    /// Hands the current baselines to the judges.
-    void update_baselines();
 
 private:
     struct service_entry {
@@ -49,6 +47,8 @@
         steady_time urgent_at;  ///< When a suspicious digest was sent last.
     };
 
+    /// Hands the current baselines of one service to the judges of its targets.
+    void update_baselines(const std::string& service);
     service_entry& entry_of(const std::string& service);
     wire::ServiceDigest own_digest(const std::string& service);
     std::vector<endpoint> gates_of(const std::string& service, std::size_t limit);
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -228,12 +228,6 @@
     }
 }
 
-void target_keeper::on_baselines(const std::function<service_baseline(const kept_target&)>& baseline_of) {
-    for (const std::shared_ptr<kept_target>& target : all()) {
-        target->judge().on_baseline(baseline_of(*target));
-    }
-}
-
 void target_keeper::on_queue_tick() {
     for (const auto& [name, target] : *targets_.read()) {
         target->guarded().on_tick();
--- a/modules/node/target_keeper.h
+++ b/modules/node/target_keeper.h
@@ -93,7 +93,6 @@
     void expire();
     /// Announces all targets as leaving, because this node stops.
     void leave_all();
-    void on_baselines(const std::function<service_baseline(const kept_target&)>& baseline_of);
 
     // Commands for any thread.
     void on_queue_tick();
