--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,6 +1,6 @@
 # Libraries come from Debian's packages; scripts/install-deps lists them.
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS json unit_test_framework)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
 find_package(Protobuf REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_package(yaml-cpp REQUIRED)
@@ -12,5 +12,8 @@
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
-find_path(RAPIDCHECK_INCLUDE_DIR rapidcheck.h REQUIRED)
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+if(TEASELPITCH_TESTS)
+  find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+  find_path(RAPIDCHECK_INCLUDE_DIR rapidcheck.h REQUIRED)
+  find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+endif()
--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 25> answers{{
+constexpr std::array<error_answer, 29> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
@@ -60,6 +60,14 @@
      "The edit builds on a version that is no longer current."},
     {error_kind::log_unavailable, "log_unavailable", 503, not_run, retry_advice::later, 5s,
      "The log service cannot be reached."},
+    {error_kind::not_ready, "not_ready", 503, not_run, retry_advice::later, 1s,
+     "The node has no configuration yet."},
+    {error_kind::target_suspect, "target_suspect", 503, not_run, retry_advice::now, 0s,
+     "The target failed its latest work; a request that may run only once is not sent to it."},
+    {error_kind::wrong_target, "wrong_target", 503, not_run, retry_advice::now, 0s,
+     "Another target answers at the address of the chosen one."},
+    {error_kind::target_refused, "target_refused", 503, not_run, retry_advice::now, 0s,
+     "The target refused the request without running it."},
     {error_kind::internal, "internal", 500, unknown, retry_advice::idempotent, 0s,
      "The node met an internal error."},
 }};
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -41,6 +41,10 @@
     invalid_table,
     stale_base,
     log_unavailable,
+    not_ready,
+    target_suspect,
+    wrong_target,
+    target_refused,
     internal,
 };
 
--- a/drivers/http/asio_types.cpp
+++ b/drivers/http/asio_types.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/asio_types.h"
 
+#include <netinet/tcp.h>
+
 #include <sys/socket.h>
 
 #include <string>
@@ -47,6 +49,23 @@
     return acceptor;
 }
 
+void set_keep_alive_probes(tcp::socket& socket) {
+    using seconds_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using interval_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using count_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using unacknowledged_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    constexpr int idle_seconds = 1;
+    constexpr int interval_seconds = 1;
+    constexpr int probes = 2;
+    constexpr int unacknowledged_ms = 3'000;
+    error_code ignored;  // A connection without probes is still bounded by the timeout of its call.
+    socket.set_option(tcp::socket::keep_alive(true), ignored);
+    socket.set_option(seconds_option(idle_seconds), ignored);
+    socket.set_option(interval_option(interval_seconds), ignored);
+    socket.set_option(count_option(probes), ignored);
+    socket.set_option(unacknowledged_option(unacknowledged_ms), ignored);
+}
+
 void reset_socket(tcp::socket& socket) {
     error_code ignored;
     if (socket.is_open()) {
--- a/drivers/http/asio_types.h
+++ b/drivers/http/asio_types.h
@@ -29,6 +29,9 @@
 absl::StatusOr<tcp::acceptor> open_acceptor(const net::any_io_executor& executor, const endpoint& listen,
                                             bool reuse_port);
 
+/// Makes the kernel probe a quiet connection and fail it within about three seconds when nothing answers.
+void set_keep_alive_probes(tcp::socket& socket);
+
 /// Closes the socket with a reset, so that the peer can't take its data for a whole message.
 void reset_socket(tcp::socket& socket);
 
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -3,6 +3,8 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -41,6 +43,20 @@
     return {status.message().data(), status.message().size()};
 }
 
+/// The body of a request without one.
+class empty_body final : public body_reader {
+public:
+    awaitable<absl::StatusOr<std::size_t>> read_some(std::span<std::byte>) override {
+        co_return std::size_t{0};
+    }
+};
+
+/// True when the request may run before earlier ones of its connection are answered.
+bool may_overlap(const request_head& head, const http::request_header<>& fields) {
+    return !head.has_body && (head.method == "GET" || head.method == "HEAD") &&
+           fields.count(http::field::expect) == 0;
+}
+
 }  // namespace
 
 caller_context::caller_context(caller_server_options options_in, exchange_handler& handler_in,
@@ -59,7 +75,8 @@
                          error_code ignored;
                          socket_.shutdown(tcp::socket::shutdown_receive, ignored);
                      }),
-      write_deadline_(socket_.get_executor(), [this] { reset(); }) {}
+      write_deadline_(socket_.get_executor(), [this] { reset(); }),
+      overlapped_changed_(socket_.get_executor(), net::steady_timer::time_point::max()) {}
 
 void caller_connection::close() {
     error_code ignored;
@@ -73,7 +90,7 @@
 }
 
 void caller_connection::begin_drain() {
-    if (idle_) {
+    if (idle_ && overlapped_.empty()) {
         read_deadline_.arm(context_->options.drain_idle_grace);
     }
 }
@@ -81,14 +98,18 @@
 awaitable<void> caller_connection::run() {
     const auto self = shared_from_this();
     bool open = true;
-    while (open) {
+    while (open && !closing_) {
         std::size_t header_size = 0;
         const header_outcome outcome = co_await read_header(header_size);
-        open = outcome == header_outcome::complete;
+        if (outcome == header_outcome::closed && !closing_ && !read_deadline_.expired()) {
+            cancel_overlapped();
+        }
+        open = outcome == header_outcome::complete && !closing_;
         if (open) {
             open = co_await serve(header_size);
         }
     }
+    co_await wait_answered();
     co_await close_gracefully();
 }
 
@@ -100,8 +121,11 @@
     const caller_server_options& options = context_->options;
     bool leading_line = true;
     bool timed = false;
-    read_deadline_.arm(context_->draining ? options.drain_idle_grace : options.idle_timeout);
-    for (;;) {
+    read_deadline_.disarm();
+    if (overlapped_.empty()) {
+        read_deadline_.arm(context_->draining ? options.drain_idle_grace : options.limits.idle_timeout);
+    }
+    while (!closing_) {
         // One empty line before a request is tolerated, as RFC 9112 section 2.2 recommends.
         if (leading_line && buffered().size() >= 2) {
             leading_line = false;
@@ -113,7 +137,7 @@
             co_await refuse(error_kind::malformed_request, *fault);
             co_return header_outcome::refused;
         }
-        if (size > options.max_header_bytes) {
+        if (size > options.limits.max_header_bytes) {
             co_await refuse(error_kind::header_too_large, "the header exceeds the limit");
             co_return header_outcome::refused;
         }
@@ -124,7 +148,7 @@
         }
         if (!timed && size > 0) {
             timed = true;
-            read_deadline_.arm(options.header_timeout);
+            read_deadline_.arm(options.limits.header_timeout);
         }
         idle_ = size == 0;
         auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(read_step), tuple_awaitable);
@@ -134,10 +158,11 @@
         }
         buffer_.commit(count);
     }
+    co_return header_outcome::closed;
 }
 
 awaitable<caller_connection::header_outcome> caller_connection::header_ended(error_code error) {
-    if (buffered().empty() || (error != net::error::eof && !read_deadline_.expired())) {
+    if (closing_ || buffered().empty() || (error != net::error::eof && !read_deadline_.expired())) {
         co_return header_outcome::closed;
     }
     co_await refuse(error_kind::malformed_request, read_deadline_.expired()
@@ -148,8 +173,8 @@
 
 awaitable<bool> caller_connection::serve(std::size_t header_size) {
     parser source;
-    source.header_limit(context_->options.max_header_bytes + 1);
-    source.body_limit(context_->options.max_body_bytes);
+    source.header_limit(context_->options.limits.max_header_bytes + 1);
+    source.body_limit(context_->options.limits.max_body_bytes);
     error_code error;
     const std::size_t used = source.put(net::buffer(buffered().data(), header_size), error);
     buffer_.consume(used);
@@ -165,14 +190,27 @@
 
 awaitable<bool> caller_connection::serve_parsed(parser& parser) {
     absl::StatusOr<request_head> head =
-        make_request_head(parser.get(), context_->clock.now(), context_->options.max_timeout);
+        make_request_head(parser.get(), context_->clock.now(), context_->options.max_timeout,
+                          context_->options.dialect);
     if (!head.ok()) {
         co_await refuse(error_kind::malformed_request, text_of(head.status()));
         co_return false;
     }
-    head->request_id = context_->new_request_id();
-    version_ = parser.get().version();
-    keep_alive_ = parser.keep_alive();
+    if (head->request_id.empty()) {
+        head->request_id = context_->new_request_id();
+    }
+    terms_ = {.version = parser.get().version(), .keep_alive = parser.keep_alive()};
+    if (may_overlap(*head, parser.get())) {
+        while (overlapped_.size() >= context_->options.max_overlapped && !closing_) {
+            co_await overlapped_changed_.async_wait(tuple_awaitable);
+        }
+        start_overlapped(*std::move(head), terms_);
+        co_return terms_.keep_alive;
+    }
+    co_await wait_answered();
+    if (closing_) {
+        co_return false;
+    }
     ++context_->open_exchanges;
     bool open = false;
     try {
@@ -185,11 +223,115 @@
     co_return open;
 }
 
+void caller_connection::start_overlapped(request_head head, request_terms terms) {
+    auto request = std::make_shared<overlapped_request>();
+    request->head = std::move(head);
+    request->terms = terms;
+    request->turn = next_turn_++;
+    overlapped_.insert(request);
+    ++context_->open_exchanges;
+    net::co_spawn(socket_.get_executor(), run_overlapped(request),
+                  net::bind_cancellation_slot(request->cancel.slot(),
+                                              [self = shared_from_this(), request](const std::exception_ptr&) {
+                                                  self->overlapped_ended(request);
+                                              }));
+}
+
+awaitable<void> caller_connection::run_overlapped(std::shared_ptr<overlapped_request> request) {
+    empty_body body;
+    caller_writer_settings settings = writer_settings(request->head, request->terms);
+    settings.wait_turn = [this, turn = request->turn] { return wait_turn(turn); };
+    caller_writer writer(socket_, write_deadline_, settings);
+    exchange_result result = failed_exchange(error_kind::cancelled, "the caller went away");
+    co_await run_handler(request->head, body, writer, result);
+    if (!closing_) {
+        co_await answer_overlapped(*request, writer, result);
+    }
+}
+
+awaitable<void> caller_connection::answer_overlapped(const overlapped_request& request, caller_writer& writer,
+                                                     const exchange_result& result) {
+    co_await wait_turn(request.turn);
+    bool open = false;
+    if (closing_) {
+        co_return;
+    }
+    if (writer.finished()) {
+        open = writer.keep_alive();
+    } else if (writer.started()) {
+        writer.abort();
+    } else {
+        exchange_result failure = result;
+        if (failure.error == error_kind::none) {
+            failure = failed_exchange(error_kind::internal, "the handler gave no answer");
+        }
+        const bool keep = request.terms.keep_alive && !context_->draining;
+        open = co_await send_error(failure, request.head, request.terms, !keep) && keep;
+    }
+    if (!open) {
+        stop_reading();
+        cancel_overlapped();
+    }
+}
+
+void caller_connection::overlapped_ended(const std::shared_ptr<overlapped_request>& request) {
+    overlapped_.erase(request);
+    --context_->open_exchanges;
+    answered_ = std::max(answered_, request->turn + 1);
+    overlapped_changed_.cancel();
+    if (idle_ && overlapped_.empty() && !closing_) {
+        read_deadline_.arm(context_->draining ? context_->options.drain_idle_grace
+                                              : context_->options.limits.idle_timeout);
+    }
+}
+
+void caller_connection::cancel_overlapped() {
+    closing_ = true;
+    const auto running = overlapped_;
+    for (const auto& request : running) {
+        request->cancel.emit(net::cancellation_type::terminal);
+    }
+    overlapped_changed_.cancel();
+}
+
+void caller_connection::stop_reading() {
+    closing_ = true;
+    // Only the read of the next header can be pending: the last answer has been written.
+    error_code ignored;
+    socket_.cancel(ignored);
+}
+
+awaitable<void> caller_connection::wait_turn(std::uint64_t turn) {
+    while (answered_ < turn && !closing_) {
+        co_await overlapped_changed_.async_wait(tuple_awaitable);
+    }
+}
+
+awaitable<void> caller_connection::wait_answered() {
+    while (!overlapped_.empty()) {
+        co_await overlapped_changed_.async_wait(tuple_awaitable);
+    }
+}
+
+caller_writer_settings caller_connection::writer_settings(const request_head& head,
+                                                          const request_terms& terms) const {
+    caller_writer_settings settings;
+    settings.request_id = head.request_id;
+    settings.node = context_->options.node;
+    settings.version = terms.version;
+    settings.head_only = head.method == "HEAD";
+    settings.keep_alive = terms.keep_alive;
+    settings.draining = &context_->draining;
+    settings.timeout = context_->options.write_timeout;
+    settings.fleet_fields = context_->options.dialect.fleet_fields_on_answers;
+    return settings;
+}
+
 awaitable<bool> caller_connection::run_request(parser& parser, const request_head& head) {
     caller_body body(socket_, buffer_, parser, read_deadline_, context_->options.body_timeout);
     if (head.has_body) {
         const std::string_view expect = parser.get()[http::field::expect];
-        if (!expect.empty() && version_ >= 11) {
+        if (!expect.empty() && terms_.version >= 11) {
             body.expect_continue();
         }
         const absl::Status status = co_await body.prefetch(prefetch_limit);
@@ -198,18 +340,10 @@
             co_return false;
         }
     }
-    caller_writer_settings settings;
-    settings.request_id = head.request_id;
-    settings.node = context_->options.node;
-    settings.version = version_;
-    settings.head_only = head.method == "HEAD";
-    settings.keep_alive = keep_alive_;
-    settings.draining = &context_->draining;
-    settings.timeout = context_->options.write_timeout;
-    caller_writer writer(socket_, write_deadline_, settings);
+    caller_writer writer(socket_, write_deadline_, writer_settings(head, terms_));
     bool caller_gone = false;
     exchange_result result = co_await run_exchange(head, body, writer, caller_gone);
-    keep_alive_ = keep_alive_ && !caller_gone;
+    terms_.keep_alive = terms_.keep_alive && !caller_gone;
     if (caller_gone && result.error == error_kind::cancelled && !body.complete()) {
         result.error = error_kind::malformed_request;
         result.detail = "the caller closed its connection before the body was read";
@@ -218,7 +352,7 @@
     co_return open && !caller_gone;
 }
 
-awaitable<void> caller_connection::run_handler(const request_head& head, caller_body& body,
+awaitable<void> caller_connection::run_handler(const request_head& head, body_reader& body,
                                                caller_writer& writer, exchange_result& result) {
     try {
         result = co_await context_->handler.exchange(head, body, writer);
@@ -267,19 +401,20 @@
         failure = failed_exchange(error_kind::internal, "the handler gave no answer");
     }
     // The answer goes out before the rest of the body is read: the caller may wait for it.
-    const bool open = keep_alive_ && !context_->draining && body.can_discard_rest(discard_limit);
-    const bool sent = co_await send_error(failure, head, !open);
+    const bool open = terms_.keep_alive && !context_->draining && body.can_discard_rest(discard_limit);
+    const bool sent = co_await send_error(failure, head, terms_, !open);
     co_return open&& sent&& co_await body.discard_rest(discard_limit);
 }
 
 awaitable<bool> caller_connection::send_error(const exchange_result& result, const request_head& head,
-                                              bool close) {
+                                              const request_terms& terms, bool close) {
     error_reply_context context;
     context.request_id = head.request_id;
     context.node = context_->options.node;
     context.close = close;
-    context.keep_alive = !close && version_ < 11;
+    context.keep_alive = !close && terms.version < 11;
     context.head_only = head.method == "HEAD";
+    context.dialect = &context_->options.dialect;
     const std::string text = format_error_reply(result, context);
     write_deadline_.arm(context_->options.write_timeout);
     auto [error, size] = co_await net::async_write(socket_, net::buffer(text), tuple_awaitable);
@@ -289,10 +424,17 @@
 
 awaitable<void> caller_connection::refuse(error_kind kind, std::string_view detail) {
     read_deadline_.disarm();
+    const std::string reason(detail);
+    co_await wait_answered();
+    if (closing_) {
+        co_return;
+    }
     request_head head;
-    head.request_id = context_->new_request_id();
-    const exchange_result result = failed_exchange(kind, detail);
-    co_await send_error(result, head, true);
+    if (!context_->options.dialect.caller_names_request) {
+        head.request_id = context_->new_request_id();
+    }
+    const exchange_result result = failed_exchange(kind, reason);
+    co_await send_error(result, head, terms_, true);
 }
 
 awaitable<void> caller_connection::close_gracefully() {
--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -118,6 +118,10 @@
     state_->stop_accepting();
 }
 
+void caller_server::set_limits(const caller_limits& limits) {
+    state_->context->options.limits = limits;
+}
+
 std::size_t caller_server::open_exchanges() const {
     return state_->context->open_exchanges.load();
 }
--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -11,7 +11,9 @@
 #include "absl/status/statusor.h"
 #include "core/clock.h"
 #include "core/identity.h"
+#include "servers/exchange/caller_limits.h"
 #include "servers/exchange/exchange.h"
+#include "servers/exchange/http_dialect.h"
 
 namespace teaselpitch {
 
@@ -19,11 +21,10 @@
     endpoint listen{"127.0.0.1", 0};
     bool reuse_port = false;                     ///< Sets SO_REUSEPORT: one acceptor for each shard.
     std::string node = {};                       ///< Value of the Teaselpitch-Node field.
-    std::uint32_t max_header_bytes = 16 * 1024;  ///< Request line and fields.
-    std::uint64_t max_body_bytes = 1ULL << 30;   ///< Sized and chunked bodies.
+    caller_limits limits = {};                   ///< Replaced by set_limits().
+    http_dialect dialect = {};                   ///< Header fields towards callers.
     std::size_t max_connections = std::size_t{16} * 1024;  ///< Accepting pauses at this number.
-    std::chrono::milliseconds header_timeout{10'000};      ///< First byte to end of the header.
-    std::chrono::milliseconds idle_timeout{60'000};        ///< Between two requests.
+    std::size_t max_overlapped = 32;                       ///< Requests of one connection that run at a time.
     std::chrono::milliseconds body_timeout{30'000};        ///< Without progress on the request body.
     std::chrono::milliseconds write_timeout{30'000};       ///< Without progress on the answer.
     std::chrono::milliseconds max_timeout{3'600'000};      ///< Deadline of a request that names none.
@@ -47,6 +48,9 @@
     /// Listens and returns the bound endpoint.
     absl::StatusOr<endpoint> start();
 
+    /// Changes the limits for all connections from their next request on.
+    void set_limits(const caller_limits& limits);
+
     /// Closes the listener after taking the connections that wait in its queue.
     void stop_accepting();
 
--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -53,6 +53,19 @@
     }
 }
 
+void caller_writer::add_fleet_fields(std::string& text, const response_head& head) const {
+    add_field(text, "Teaselpitch-Execution", to_string(execution_state::run));
+    if (!settings_.request_id.empty()) {
+        add_field(text, "Teaselpitch-Request-Id", settings_.request_id);
+    }
+    if (!head.target.empty()) {
+        add_field(text, "Teaselpitch-Target", head.target);
+    }
+    if (!settings_.node.empty()) {
+        add_field(text, "Teaselpitch-Node", settings_.node);
+    }
+}
+
 std::string caller_writer::format_head(const response_head& head) const {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
     for (const header_field& field : head.headers) {
@@ -65,15 +78,8 @@
     } else if (head.content_length.has_value() && head.status != status_no_content) {
         add_field(text, "Content-Length", std::to_string(*head.content_length));
     }
-    add_field(text, "Teaselpitch-Execution", to_string(execution_state::run));
-    if (!settings_.request_id.empty()) {
-        add_field(text, "Teaselpitch-Request-Id", settings_.request_id);
-    }
-    if (!head.target.empty()) {
-        add_field(text, "Teaselpitch-Target", head.target);
-    }
-    if (!settings_.node.empty()) {
-        add_field(text, "Teaselpitch-Node", settings_.node);
+    if (settings_.fleet_fields) {
+        add_fleet_fields(text, head);
     }
     if (!keep_alive_) {
         add_field(text, "Connection", "close");
@@ -174,6 +180,9 @@
 
 awaitable<absl::Status> caller_writer::send(std::string_view first, std::span<const std::byte> second,
                                             std::string_view third) {
+    if (settings_.wait_turn) {
+        co_await std::exchange(settings_.wait_turn, nullptr)();
+    }
     const std::array<net::const_buffer, 3> buffers{
         net::buffer(first), net::buffer(second.data(), second.size()), net::buffer(third)};
     deadline_.arm(settings_.timeout);
--- a/drivers/http/caller_writer.h
+++ b/drivers/http/caller_writer.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -24,6 +25,9 @@
     bool keep_alive = true;          ///< The caller allows another request on the connection.
     const bool* draining = nullptr;  ///< When it points to true, the answer says Connection: close.
     std::chrono::milliseconds timeout{30'000};
+    bool fleet_fields = true;  ///< Adds the Teaselpitch-* fields.
+    /// Completes when the answers to earlier requests of the connection are out; null when there are none.
+    std::function<awaitable<void>()> wait_turn = nullptr;
 };
 
 /// Writes one answer to a caller's connection. The last bytes of a sized answer are held back until
@@ -50,6 +54,7 @@
     enum class framing : std::uint8_t { none, sized, chunked, until_close };
 
     void choose_framing(const response_head& head);
+    void add_fleet_fields(std::string& text, const response_head& head) const;
     std::string format_head(const response_head& head) const;
     awaitable<absl::Status> write_sized(std::span<const std::byte> data);
     awaitable<absl::Status> write_chunk(std::span<const std::byte> data);
--- a/drivers/http/error_reply.cpp
+++ b/drivers/http/error_reply.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/error_reply.h"
 
+#include <fmt/format.h>
+
 #include <boost/beast/http/status.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
@@ -22,11 +24,25 @@
     text.append(name).append(": ").append(value).append("\r\n");
 }
 
-/// Retry-After counts whole seconds; a part of a second is rounded up.
-std::string whole_seconds(std::chrono::milliseconds delay) {
+/// Retry-After counts whole seconds, rounded up, unless the dialect allows a fraction.
+std::string retry_after_text(std::chrono::milliseconds delay, bool fractional) {
+    if (fractional) {
+        return fmt::format("{:.3f}", std::chrono::duration<double>(delay).count());
+    }
     return std::to_string(std::chrono::ceil<std::chrono::seconds>(delay).count());
 }
 
+void add_fleet_fields(std::string& text, const exchange_result& result, const error_reply_context& context) {
+    add_field(text, "Teaselpitch-Error", answer_of(result.error).name);
+    add_field(text, "Teaselpitch-Execution", to_string(result.execution));
+    if (!context.node.empty()) {
+        add_field(text, "Teaselpitch-Node", context.node);
+    }
+    if (result.slot_epoch != 0) {
+        add_field(text, "Teaselpitch-Slot-Epoch", std::to_string(result.slot_epoch));
+    }
+}
+
 }  // namespace
 
 std::string json_quote(std::string_view text) {
@@ -39,26 +55,23 @@
 }
 
 std::string format_error_reply(const exchange_result& result, const error_reply_context& context) {
+    static const http_dialect own;
+    const http_dialect& dialect = context.dialect == nullptr ? own : *context.dialect;
     const error_answer& answer = answer_of(result.error);
+    const unsigned status = http_status_of(dialect, result.error);
     std::string body = "{\"kind\":" + json_quote(answer.name) + ",\"meaning\":" + json_quote(answer.meaning) +
                        ",\"detail\":" + json_quote(result.detail) + "}\n";
-    std::string text =
-        "HTTP/1.1 " + std::to_string(answer.http_status) + " " + reason_of(answer.http_status) + "\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reason_of(status) + "\r\n";
     add_field(text, "Content-Type", "application/json");
     add_field(text, "Content-Length", std::to_string(body.size()));
-    add_field(text, "Teaselpitch-Error", answer.name);
-    add_field(text, "Teaselpitch-Execution", to_string(result.execution));
-    if (!context.request_id.empty()) {
-        add_field(text, "Teaselpitch-Request-Id", context.request_id);
+    if (dialect.fleet_fields_on_answers) {
+        add_fleet_fields(text, result, context);
     }
-    if (!context.node.empty()) {
-        add_field(text, "Teaselpitch-Node", context.node);
-    }
-    if (result.slot_epoch != 0) {
-        add_field(text, "Teaselpitch-Slot-Epoch", std::to_string(result.slot_epoch));
+    if (!context.request_id.empty()) {
+        add_field(text, dialect.request_id, context.request_id);
     }
     if (result.retry_after.has_value()) {
-        add_field(text, "Retry-After", whole_seconds(*result.retry_after));
+        add_field(text, "Retry-After", retry_after_text(*result.retry_after, dialect.fractional_retry_after));
     }
     if (context.close || context.keep_alive) {
         add_field(text, "Connection", context.close ? "close" : "keep-alive");
--- a/drivers/http/error_reply.h
+++ b/drivers/http/error_reply.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "servers/exchange/exchange.h"
+#include "servers/exchange/http_dialect.h"
 
 namespace teaselpitch {
 
@@ -14,6 +15,7 @@
     bool close = false;           ///< Adds Connection: close.
     bool keep_alive = false;      ///< Adds Connection: keep-alive, for HTTP/1.0 callers.
     bool head_only = false;       ///< The request was HEAD: no body is sent.
+    const http_dialect* dialect = nullptr;  ///< The project's own interface when null.
 };
 
 /// Text as a JSON string with its quotes; bytes that are not UTF-8 are replaced.
--- a/drivers/http/header_rules.cpp
+++ b/drivers/http/header_rules.cpp
@@ -167,29 +167,53 @@
     return absl::OkStatus();
 }
 
+boost::beast::string_view beast_view(std::string_view text) {
+    return {text.data(), text.size()};
+}
+
+absl::Status read_timeout(const request_header& header, steady_time now,
+                          std::chrono::milliseconds max_timeout, const http_dialect& dialect,
+                          request_head& head) {
+    std::chrono::milliseconds timeout = max_timeout;
+    if (header.count(beast_view(dialect.timeout_ms)) == 1) {
+        const std::optional<std::uint64_t> given = parse_digits(view_of(header[beast_view(dialect.timeout_ms)]));
+        if (!given.has_value()) {
+            return absl::InvalidArgumentError(dialect.timeout_ms + " is not a number of milliseconds");
+        }
+        const auto longest = static_cast<std::uint64_t>(max_timeout.count());
+        timeout = std::chrono::milliseconds(std::min(*given, longest));
+    }
+    head.deadline = now + timeout;
+    return absl::OkStatus();
+}
+
 absl::Status read_fleet_fields(const request_header& header, steady_time now,
-                               std::chrono::milliseconds max_timeout, request_head& head) {
+                               std::chrono::milliseconds max_timeout, const http_dialect& dialect,
+                               request_head& head) {
     for (const std::string_view name :
-         {"Teaselpitch-Account", "Idempotency-Key", "Teaselpitch-Attempt", "Teaselpitch-Timeout-Ms"}) {
-        if (header.count(boost::beast::string_view(name.data(), name.size())) > 1) {
+         {std::string_view("Teaselpitch-Account"), std::string_view("Idempotency-Key"),
+          std::string_view("Teaselpitch-Attempt"), std::string_view(dialect.timeout_ms),
+          std::string_view(dialect.request_id)}) {
+        if (header.count(beast_view(name)) > 1) {
             return absl::InvalidArgumentError("more than one " + std::string(name) + " field");
         }
     }
     head.account = view_of(header["Teaselpitch-Account"]);
     head.idempotency_key = view_of(header["Idempotency-Key"]);
     head.first_send = view_of(header["Teaselpitch-Attempt"]) == "1";
-    std::chrono::milliseconds timeout = max_timeout;
-    if (header.count("Teaselpitch-Timeout-Ms") == 1) {
-        const std::optional<std::uint64_t> given = parse_digits(view_of(header["Teaselpitch-Timeout-Ms"]));
-        if (!given.has_value()) {
-            return absl::InvalidArgumentError("Teaselpitch-Timeout-Ms is not a number of milliseconds");
+    if (absl::Status status = read_timeout(header, now, max_timeout, dialect, head); !status.ok()) {
+        return status;
+    }
+    if (dialect.caller_names_request) {
+        head.request_id = view_of(header[beast_view(dialect.request_id)]);
+        if (head.request_id.empty()) {
+            return absl::InvalidArgumentError("the " + dialect.request_id + " field is missing");
         }
-        const auto longest = static_cast<std::uint64_t>(max_timeout.count());
-        timeout = std::chrono::milliseconds(std::min(*given, longest));
     }
-    head.deadline = now + timeout;
-    std::erase_if(head.headers, [](const header_field& field) {
-        return equals(field.name, "Teaselpitch-Timeout-Ms") || equals(field.name, "Teaselpitch-Request-Id");
+    // The fleet writes these fields itself, whatever the caller sent.
+    std::erase_if(head.headers, [&dialect](const header_field& field) {
+        return equals(field.name, dialect.timeout_ms) || equals(field.name, dialect.request_id) ||
+               equals(field.name, dialect.expected_target) || equals(field.name, dialect.caller_service);
     });
     return absl::OkStatus();
 }
@@ -250,7 +274,8 @@
 }
 
 absl::StatusOr<request_head> make_request_head(const request_header& header, steady_time now,
-                                               std::chrono::milliseconds max_timeout) {
+                                               std::chrono::milliseconds max_timeout,
+                                               const http_dialect& dialect) {
     request_head head;
     head.method = view_of(header.method_string());
     head.headers = end_to_end_fields(header);
@@ -263,7 +288,7 @@
         status = read_framing(header, head);
     }
     if (status.ok()) {
-        status = read_fleet_fields(header, now, max_timeout, head);
+        status = read_fleet_fields(header, now, max_timeout, dialect, head);
     }
     if (!status.ok()) {
         return status;
--- a/drivers/http/header_rules.h
+++ b/drivers/http/header_rules.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "core/clock.h"
 #include "servers/exchange/exchange.h"
+#include "servers/exchange/http_dialect.h"
 
 namespace teaselpitch {
 
@@ -34,6 +35,6 @@
 /// limit is cut to max_timeout. Fails with InvalidArgument and a sentence for the caller.
 absl::StatusOr<request_head> make_request_head(
     const boost::beast::http::header<true, boost::beast::http::fields>& header, steady_time now,
-    std::chrono::milliseconds max_timeout);
+    std::chrono::milliseconds max_timeout, const http_dialect& dialect = {});
 
 }  // namespace teaselpitch
--- a/drivers/http/http_call.cpp
+++ b/drivers/http/http_call.cpp
@@ -65,6 +65,9 @@
     if (connect_error) {
         co_return status_of(connect_error, target, "cannot connect to");
     }
+    if (request.detect_silence) {
+        set_keep_alive_probes(stream.socket());
+    }
     http::response_parser<http::string_body> parser;
     parser.body_limit(request.max_reply_bytes);
     parser.skip(request.method == "HEAD");
--- a/drivers/http/http_call.h
+++ b/drivers/http/http_call.h
@@ -18,6 +18,8 @@
     std::string path = "/";             ///< Path and query.
     std::vector<header_field> headers;  ///< Host, Content-Length and Connection are added.
     std::string body;
+    /// Fails the call within seconds when the connection went silent, however long the reply may take.
+    bool detect_silence = false;
     std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;  ///< A longer reply fails the call.
 };
 
--- a/drivers/http/target_client.cpp
+++ b/drivers/http/target_client.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/target_client.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -20,7 +21,7 @@
 
     net::any_io_executor executor() override { return executor_; }
     const endpoint& target() override { return target_; }
-    std::unique_ptr<target_connection> take_idle() override;
+    std::unique_ptr<target_connection> take_idle(std::chrono::milliseconds longest_idle) override;
     void keep(std::unique_ptr<target_connection> connection) override;
 
     const time_source& clock;
@@ -34,9 +35,12 @@
     endpoint target_;
 };
 
-std::unique_ptr<target_connection> target_client::pool::take_idle() {
+std::unique_ptr<target_connection> target_client::pool::take_idle(
+    std::chrono::milliseconds longest_idle) {
     drop_old();
-    while (!idle.empty()) {
+    const steady_time oldest = clock.now() - longest_idle;
+    // The connection that was used last is on top.
+    while (!idle.empty() && idle.back()->idle_since >= oldest) {
         std::unique_ptr<target_connection> connection = std::move(idle.back());
         idle.pop_back();
         if (connection->quiet()) {
@@ -55,8 +59,11 @@
 }
 
 void target_client::pool::drop_old() {
-    const steady_time oldest = clock.now() - options.idle_timeout;
-    std::erase_if(idle, [oldest](const auto& connection) { return connection->idle_since < oldest; });
+    const steady_time now = clock.now();
+    std::erase_if(idle, [&](const auto& connection) {
+        const auto limit = std::min(options.idle_timeout, connection->idle_limit);
+        return now - connection->idle_since > limit;
+    });
 }
 
 target_client::target_client(net::any_io_executor executor, endpoint target, const time_source& clock,
--- a/drivers/http/target_exchange.cpp
+++ b/drivers/http/target_exchange.cpp
@@ -8,7 +8,10 @@
 #include <boost/asio/multiple_exceptions.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -75,7 +78,8 @@
     if (clock_.now() >= head.deadline) {
         co_return failed_exchange(error_kind::deadline_expired, "the deadline passed before the connection");
     }
-    connection_ = connections_.take_idle();
+    connection_ =
+        connections_.take_idle(head.non_idempotent ? options_.non_idempotent_idle : options_.idle_timeout);
     if (connection_ == nullptr) {
         const exchange_result connected = co_await connect(head);
         if (connected.error != error_kind::none) {
@@ -124,7 +128,7 @@
         co_return failed_exchange(error_kind::deadline_expired,
                                   "the deadline passed before the request was sent");
     }
-    const std::string text = format_target_request(head, connections_.target(), remaining);
+    const std::string text = format_target_request(head, connections_.target(), remaining, options_.dialect);
     deadline_.arm(remaining);
     if (before_first_byte_ && !before_first_byte_()) {
         deadline_.disarm();
@@ -242,8 +246,11 @@
             co_return false;
         }
         const unsigned status = parser_->get().result_int();
-        if (status >= 200) {
-            co_return check_head();
+        if (status >= 200 && answers_request(head)) {
+            co_return check_head() && check_refusal(status);
+        }
+        if (status >= 200 && !co_await skip_old_answer()) {
+            co_return false;
         }
         if (status == 101) {
             break;  // No upgrade was asked for.
@@ -253,6 +260,50 @@
     co_return false;
 }
 
+bool target_exchange::answers_request(const request_head& head) const {
+    const http_dialect& dialect = options_.dialect;
+    return !dialect.answers_name_request || parser_->get()[dialect.request_id] == head.request_id;
+}
+
+// A late second answer to an earlier request may arrive where the next answer is expected.
+awaitable<bool> target_exchange::skip_old_answer() {
+    std::vector<std::byte> scratch(parser_->is_done() ? 0 : piece_size);
+    while (!parser_->is_done()) {
+        auto& body = parser_->get().body();
+        body.data = scratch.data();
+        body.size = scratch.size();
+        body.more = true;
+        auto [error, size] = co_await http::async_read_some(connection_->socket, connection_->buffer,
+                                                            *parser_, tuple_awaitable);
+        if (error && error != http::error::need_buffer) {
+            fail_without_head(error);
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+// Finds answers by which the target says that it did not run the request, and successes of something else.
+bool target_exchange::check_refusal(unsigned status) {
+    constexpr unsigned status_misdirected = 421;
+    const http_dialect& dialect = options_.dialect;
+    const auto& fields = parser_->get();
+    if (!dialect.expected_target.empty() && status == status_misdirected) {
+        result_ = failed_exchange(error_kind::wrong_target, "another target answered at the address");
+        return false;
+    }
+    if (!dialect.not_executed.empty() && fields.count(dialect.not_executed) > 0) {
+        result_ = failed_exchange(error_kind::target_refused,
+                                  "the target refused the request with status " + std::to_string(status));
+        return false;
+    }
+    if (!dialect.answer_seal.empty() && status < 300 && fields.count(dialect.answer_seal) == 0) {
+        result_ = failed_exchange(error_kind::answer_broken, "the answer has no seal of the target");
+        return false;
+    }
+    return true;
+}
+
 bool target_exchange::check_head() {
     const auto& fields = parser_->get();
     const bool coded = fields.count(http::field::transfer_encoding) > 0;
@@ -364,11 +415,31 @@
     return result;
 }
 
+// Keep-Alive: timeout=N says when the target closes the idle connection.
+void target_exchange::note_idle_limit() {
+    constexpr std::string_view name = "timeout=";
+    // Reusing it in the last part of that time would race with the close.
+    constexpr int percent_used = 60;
+    const auto field = parser_->get()[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    const std::size_t at = text.find(name);
+    if (at == std::string_view::npos) {
+        return;
+    }
+    std::uint32_t seconds = 0;
+    const char* first = text.data() + at + name.size();
+    const auto [end, error] = std::from_chars(first, text.data() + text.size(), seconds);
+    if (error == std::errc{} && end != first) {
+        connection_->idle_limit = std::chrono::milliseconds(std::uint64_t{seconds} * 10 * percent_used);
+    }
+}
+
 void target_exchange::release() {
     deadline_.disarm();
     const bool clean = request_sent_ && !deadline_.expired() && parser_->keep_alive() &&
                        connection_->buffer.size() == 0 && connection_->socket.is_open();
     if (clean) {
+        note_idle_limit();
         connections_.keep(std::move(connection_));
     }
 }
--- a/drivers/http/target_exchange.h
+++ b/drivers/http/target_exchange.h
@@ -26,6 +26,8 @@
     tcp::socket socket;
     beast::flat_buffer buffer;
     steady_time idle_since;
+    /// How long the target keeps the idle connection, as far as it said so.
+    std::chrono::milliseconds idle_limit = std::chrono::milliseconds::max();
 };
 
 /// Where an exchange takes its connection from and where it leaves it.
@@ -34,8 +36,8 @@
     virtual ~target_connections() = default;
     virtual net::any_io_executor executor() = 0;
     virtual const endpoint& target() = 0;
-    /// A quiet idle connection, or null.
-    virtual std::unique_ptr<target_connection> take_idle() = 0;
+    /// A quiet connection that has not been idle for longer, or null.
+    virtual std::unique_ptr<target_connection> take_idle(std::chrono::milliseconds longest_idle) = 0;
     virtual void keep(std::unique_ptr<target_connection> connection) = 0;
 
 protected:
@@ -65,7 +67,11 @@
     awaitable<void> receive(const request_head& head, response_writer& writer);
     awaitable<bool> receive_head(const request_head& head);
     awaitable<void> receive_body(response_writer& writer);
+    [[nodiscard]] bool answers_request(const request_head& head) const;
+    awaitable<bool> skip_old_answer();
     bool check_head();
+    bool check_refusal(unsigned status);
+    void note_idle_limit();
     [[nodiscard]] response_head make_response_head() const;
     void fail_without_head(error_code error);
     void fail_after_head(error_code error, response_writer& writer);
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -85,6 +85,15 @@
     message.mutable_target()->set_incarnation(head.target.incarnation);
     message.set_detours(head.detours);
     message.set_fingerprint(head.fingerprint);
+    message.set_caller_service(head.caller_service);
+    message.set_rank(head.rank);
+    if (head.objective != steady_time{}) {
+        const auto left = std::chrono::duration_cast<std::chrono::microseconds>(head.objective - now);
+        // 0 stands for no objective, so a passed one is sent as the least time.
+        message.set_objective_us(static_cast<std::uint64_t>(std::max<std::int64_t>(left.count(), 1)));
+    }
+    message.set_last_resort(head.last_resort);
+    message.set_no_queue(!head.may_queue);
     return to_field(message);
 }
 
@@ -116,6 +125,14 @@
     head.target = {message->target().name(), message->target().incarnation()};
     head.detours = message->detours();
     head.fingerprint = message->fingerprint();
+    head.caller_service = std::move(*message->mutable_caller_service());
+    head.rank = message->rank();
+    if (message->objective_us() > 0) {
+        const auto left = std::min(message->objective_us(), static_cast<std::uint64_t>(longest.count()));
+        head.objective = now + std::chrono::microseconds(left);
+    }
+    head.last_resort = message->last_resort();
+    head.may_queue = !message->no_queue();
     return head;
 }
 
--- a/platform/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -1,4 +1,4 @@
-#include "platform/node_settings.h"
+#include "drivers/settings/node_settings.h"
 
 #include <fstream>
 #include <iterator>
@@ -21,6 +21,7 @@
     out.availability_zone = node.required_text("availability_zone");
     out.region = node.text_or("region", "");
     out.threads = static_cast<std::size_t>(node.integer_or("threads", 2, {1, max_threads}));
+    out.tick_factor = static_cast<unsigned>(node.integer_or("tick_factor", 1, {1, 20}));
     node.refuse_unknown_keys();
 }
 
@@ -42,6 +43,45 @@
     }
 }
 
+void read_store(settings_section& top, node_settings& out) {
+    settings_section store = top.section("store");
+    store_settings values;
+    values.address = store.required_endpoint("address");
+    values.readiness_listen = store.required_endpoint("readiness_listen");
+    values.heartbeat = store.milliseconds_or("heartbeat_ms", 1500ms, short_time_ms);
+    values.drain_limit = store.milliseconds_or("drain_limit_ms", 6s, long_time_ms);
+    store.refuse_unknown_keys();
+    out.store = values;
+    out.claims_enabled = false;
+}
+
+void read_beside(settings_section& top, node_settings& out) {
+    if (!top.has("beside")) {
+        return;
+    }
+    settings_section beside = top.section("beside");
+    neighbour_settings values;
+    values.service = beside.required_text("service");
+    values.address = beside.required_endpoint("address");
+    beside.refuse_unknown_keys();
+    out.beside = values;
+}
+
+void read_routing(settings_section& top, node_settings& out) {
+    constexpr std::int64_t max_kept_bytes = std::int64_t{64} << 20;
+    settings_section routing = top.section("routing");
+    out.replay_bytes =
+        static_cast<std::size_t>(routing.integer_or("replay_bytes", 64 * 1024, {0, max_kept_bytes}));
+    out.held_answer_bytes =
+        static_cast<std::size_t>(routing.integer_or("held_answer_bytes", 64 * 1024, {0, max_kept_bytes}));
+    out.free_slot_hops = static_cast<std::uint32_t>(routing.integer_or("free_slot_hops", 2, {0, 16}));
+    out.retry_floor_per_s = routing.number_or("retry_floor_per_s", 1.0, 0.0, 1'000.0);
+    out.target_idle = routing.milliseconds_or("target_idle_ms", 30s, long_time_ms);
+    out.non_idempotent_idle = routing.milliseconds_or("non_idempotent_idle_ms", 30s, long_time_ms);
+    out.ping_deadline = routing.milliseconds_or("ping_deadline_ms", 300ms, short_time_ms);
+    routing.refuse_unknown_keys();
+}
+
 void read_log(settings_section& top, node_settings& out) {
     settings_section log = top.section("log");
     out.log_address = log.required_endpoint("address");
@@ -92,7 +132,14 @@
     settings_section top(document, "", result.faults);
     read_identity(top, result.settings);
     read_listeners(top, result.settings);
-    read_log(top, result.settings);
+    if (top.has("store")) {
+        read_store(top, result.settings);
+        result.settings.seeds = top.endpoints("seeds");
+    } else {
+        read_log(top, result.settings);
+    }
+    read_beside(top, result.settings);
+    read_routing(top, result.settings);
     read_limits(top, result.settings);
     read_times(top, result.settings);
     read_claims(top, result.faults, result.settings);
--- a/platform/settings_section.cpp
+++ b/drivers/settings/settings_section.cpp
@@ -1,4 +1,4 @@
-#include "platform/settings_section.h"
+#include "drivers/settings/settings_section.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +21,10 @@
     }
 }
 
+bool settings_section::has(std::string_view key) const {
+    return mapping_.IsMap() && mapping_[std::string(key)].IsDefined();
+}
+
 std::string settings_section::required_text(std::string_view key) {
     const YAML::Node node = take(key);
     if (!node.IsDefined() || node.IsNull()) {
--- a/platform/settings_section.h
+++ b/drivers/settings/settings_section.h
@@ -42,6 +42,8 @@
     std::string choice_or(std::string_view key, std::string_view fallback,
                           const std::vector<std::string_view>& choices);
 
+    [[nodiscard]] bool has(std::string_view key) const;
+
     /// A nested mapping; a missing one reads as empty.
     settings_section section(std::string_view key);
 
--- a/platform/shard_group.cpp
+++ b/drivers/threads/shard_group.cpp
@@ -1,4 +1,4 @@
-#include "platform/shard_group.h"
+#include "drivers/threads/shard_group.h"
 
 #include <exception>
 
--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -6,7 +6,8 @@
 #include "core/clock.h"
 #include "core/event_log.h"
 #include "modules/node/node.h"
-#include "platform/node_settings.h"
+#include "platform/node_platform.h"
+#include "drivers/settings/node_settings.h"
 
 namespace teaselpitch {
 namespace {
@@ -38,7 +39,7 @@
     const system_time_source clock;
     const auto started =
         std::chrono::duration_cast<std::chrono::microseconds>(clock.wall_now().time_since_epoch());
-    node self(loaded.settings, clock, static_cast<std::uint64_t>(started.count()));
+    node self(loaded.settings, loaded.settings.store ? platform::make_node_platform() : node_platform{}, clock, static_cast<std::uint64_t>(started.count()));
     const absl::Status ended = self.run();
     if (!ended.ok()) {
         log_event(event_level::error, "node_failed", {{"reason", std::string(ended.message())}});
@@ -54,7 +55,9 @@
     CLI::App app{"teaselpitch node: takes callers' requests and guards the targets beside it"};
     teaselpitch::arguments given;
     app.set_version_flag("--version", TEASELPITCH_VERSION);
-    app.add_option("--settings", given.settings_path, "Settings file (YAML)")->required();
+    app.add_option("--settings", given.settings_path, "Settings file (YAML)")
+        ->required()
+        ->envname("TEASELPITCH_SETTINGS");
     app.add_flag("--check", given.check_only, "Only validate the settings");
     app.footer("Exit status: 0 stopped gracefully, 1 failed, 2 bad usage or settings.");
     try {
--- a/modules/node/admin_api.cpp
+++ b/modules/node/admin_api.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "core/event_log.h"
 #include "modules/burn/burn_report.h"
 #include "servers/table/table_csv.h"
 
@@ -18,6 +19,7 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_not_allowed = 405;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_unavailable = 503;
 constexpr std::size_t default_explain_limit = 50;
 constexpr std::size_t max_explain_limit = 4'096;
 
@@ -100,10 +102,16 @@
 
 }  // namespace
 
-admin_api::admin_api(node_context& context, control_plane& control, std::function<void()> request_drain)
-    : context_(context), control_(control), request_drain_(std::move(request_drain)) {}
+admin_api::admin_api(node_context& context, control_plane& control, const node_platform& platform,
+                     std::function<void()> request_drain)
+    : context_(context), control_(control), platform_(platform), request_drain_(std::move(request_drain)) {}
 
 awaitable<admin_response> admin_api::handle(admin_request request) {
+    if (platform_.read_target_call) {
+        if (const auto call = platform_.read_target_call(request)) {
+            co_return take_target_call(request, *call);
+        }
+    }
     const bool is_post = request.method == "POST";
     if (request.path == "/v1/announce" || request.path == "/v1/drain") {
         if (!is_post) {
@@ -132,6 +140,26 @@
     co_return error_response(status_not_found, "unknown path");
 }
 
+admin_response admin_api::take_target_call(const admin_request& request,
+                                           const absl::StatusOr<target_call>& call) {
+    const absl::Status taken = call.ok() ? control_.on_target_call(*call) : call.status();
+    if (taken.ok()) {
+        return json_response(json::object{});
+    }
+    log_event(event_level::warning, "target_call_refused",
+              {{"path", request.path}, {"bytes", request.body.size()}, {"reason", std::string(taken.message())}});
+    return error_response(absl::IsInvalidArgument(taken) ? status_bad_request : status_conflict,
+                          std::string(taken.message()));
+}
+
+awaitable<admin_response> admin_api::answer_readiness(admin_request request) {
+    if (!platform_.is_readiness_question(request)) {
+        co_return error_response(status_not_found, "unknown path");
+    }
+    co_return json_response(json::object{{"ready", control_.ready()}},
+                            control_.ready() ? 200 : status_unavailable);
+}
+
 admin_response admin_api::announce(const admin_request& request) {
     const absl::StatusOr<announcement> message = parse_announcement(request.body);
     if (!message.ok()) {
@@ -169,8 +197,8 @@
                                       {"incarnation", context_.self.incarnation},
                                       {"zone", context_.settings.availability_zone},
                                       {"draining", context_.draining.load()},
-                                      {"table_version", control_.replica().version()},
-                                      {"log_available", control_.follower().log_available()},
+                                      {"table_version", control_.table_version()},
+                                      {"log_available", control_.store_available()},
                                       {"held_slots", control_.claims().held_slots()},
                                       {"members", std::move(members)},
                                       {"guarded", std::move(guarded)},
@@ -178,8 +206,8 @@
 }
 
 admin_response admin_api::show_table() const {
-    return json_response(json::object{{"version", control_.replica().version()},
-                                      {"csv", write_table_csv(*control_.replica().current())}});
+    return json_response(json::object{{"version", control_.table_version()},
+                                      {"csv", write_table_csv(context_.routing.read()->rows())}});
 }
 
 admin_response admin_api::explain(const admin_request& request) const {
--- a/modules/node/admin_api.h
+++ b/modules/node/admin_api.h
@@ -13,12 +13,16 @@
 class admin_api {
 public:
     /// `request_drain` starts the graceful stop of the process.
-    admin_api(node_context& context, control_plane& control, std::function<void()> request_drain);
+    admin_api(node_context& context, control_plane& control, const node_platform& platform,
+              std::function<void()> request_drain);
 
     awaitable<admin_response> handle(admin_request request);
+    /// The question at the readiness listener whether this node takes callers.
+    awaitable<admin_response> answer_readiness(admin_request request);
 
 private:
     // Commands.
+    admin_response take_target_call(const admin_request& request, const absl::StatusOr<target_call>& call);
     admin_response announce(const admin_request& request);
     admin_response drain(const admin_request& request);
 
@@ -31,6 +35,7 @@
 
     node_context& context_;
     control_plane& control_;
+    const node_platform& platform_;
     const std::function<void()> request_drain_;
 };
 
--- /dev/null
+++ b/modules/node/configuration_feed.cpp
@@ -0,0 +1,116 @@
+#include "modules/node/configuration_feed.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "core/event_log.h"
+
+namespace teaselpitch {
+
+configuration_feed::configuration_feed(keyed_store& store, configuration_source source,
+                                       configuration_feed_options options, configuration_feed_hooks hooks)
+    : store_(store),
+      source_(std::move(source)),
+      options_(options),
+      hooks_(std::move(hooks)),
+      backoff_(options.min_backoff),
+      random_(static_cast<std::minstd_rand::result_type>(options.seed % std::minstd_rand::max() + 1)) {}
+
+awaitable<void> configuration_feed::run() {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    for (;;) {
+        const absl::Status status = co_await step();
+        if (status.ok()) {
+            backoff_ = options_.min_backoff;
+            continue;
+        }
+        timer.expires_after(next_backoff());
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+awaitable<absl::Status> configuration_feed::step() {
+    absl::Status status;
+    if (position_) {
+        status = co_await read_on();
+    } else {
+        status = co_await read_newest();
+    }
+    if (absl::IsOutOfRange(status)) {
+        log_event(event_level::info, "configuration_gap",
+                  {{"topic", source_.topic}, {"offset", *position_}, {"reason", std::string(status.message())}});
+        position_.reset();
+        status = co_await read_newest();
+    }
+    set_available(status);
+    co_return status;
+}
+
+awaitable<absl::Status> configuration_feed::read_newest() {
+    const auto found = co_await store_.read_newest(source_.topic);
+    if (!found.ok()) {
+        co_return found.status();
+    }
+    take(*found);
+    position_ = found->end;
+    co_return absl::OkStatus();
+}
+
+awaitable<absl::Status> configuration_feed::read_on() {
+    const auto found = co_await store_.read_from(source_.topic, *position_, options_.read_wait);
+    if (!found.ok()) {
+        co_return found.status();
+    }
+    take(*found);
+    if (!found->records.empty()) {
+        position_ = found->records.back().offset + 1;
+    }
+    co_return absl::OkStatus();
+}
+
+void configuration_feed::take(const keyed_records& found) {
+    for (const keyed_record& record : found.records) {
+        if (record.key == source_.key && !record.value.empty()) {
+            offer(record.value, "store");
+        }
+    }
+}
+
+bool configuration_feed::offer(std::string_view document, std::string_view origin) {
+    absl::StatusOr<configuration> decoded = source_.decode(document);
+    if (!decoded.ok()) {
+        log_event(event_level::warning, "configuration_refused",
+                  {{"origin", origin},
+                   {"version_in_force", version()},
+                   {"reason", std::string(decoded.status().message())}});
+        return false;
+    }
+    if (decoded->version <= version()) {
+        return false;
+    }
+    log_event(event_level::info, "configuration_in_force",
+              {{"version", decoded->version},
+               {"replaces", version()},
+               {"origin", origin},
+               {"routes", decoded->rows->routes().size()}});
+    current_ = *std::move(decoded);
+    hooks_.on_configuration(*current_);
+    return true;
+}
+
+void configuration_feed::set_available(const absl::Status& status) {
+    if (std::exchange(available_, status.ok()) != status.ok()) {
+        hooks_.on_availability(status.ok() ? std::string() : std::string(status.message()));
+    }
+}
+
+std::chrono::milliseconds configuration_feed::next_backoff() {
+    std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
+    backoff_ = std::min(backoff_ * 2, options_.max_backoff);
+    return std::chrono::milliseconds(jitter(random_));
+}
+
+}  // namespace teaselpitch
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -47,7 +47,8 @@
 
 }  // namespace
 
-control_plane::control_plane(boost::asio::io_context& control, node_context& context)
+control_plane::control_plane(boost::asio::io_context& control, node_context& context,
+                             const node_platform& platform, hooks told)
     : control_(control),
       context_(context),
       log_({.address = context.settings.log_address, .stream = context.settings.log_stream}),
@@ -62,7 +63,9 @@
                                    {{"available", reason.empty()}, {"reason", reason}});
                      }}),
       peers_(control.get_executor(), context.clock,
-             {.bind_address = context.settings.bind_address.value_or(""), .on_silent_connection = {}}),
+             {.bind_address = context.settings.bind_address.value_or(""),
+              .ping_deadline = context.settings.ping_deadline,
+              .on_silent_connection = {}}),
       fleet_(control.get_executor(), context, peers_,
              {.nodes_changed = [this] { nodes_changed_ = true; },
               .targets_changed = [this](const std::string& service) { changed_services_.insert(service); },
@@ -74,28 +77,40 @@
                   }}),
       health_(context),
       claims_(context.clock, slot_settings_of(context.settings), claim_options_of(context.settings),
-              context.self, make_claim_hooks()) {}
+              context.self, make_claim_hooks()),
+      hooks_(std::move(told)) {
+    if (context.settings.store) {
+        make_feed(platform);
+    }
+}
 
 absl::Status control_plane::start() {
     if (absl::Status started = fleet_.start(); !started.ok()) {
         return started;
     }
     on_nodes_changed();
-    spawn(follower_.run(), "log_follower");
+    if (feed_) {
+        spawn(feed_->run(), "configuration_feed");
+        spawn(registration_->join(), "node_registration");
+    } else {
+        spawn(follower_.run(), "log_follower");
+        spawn(every(snapshot_tick, [this] { publish_snapshot(); }), "snapshot_tick");
+    }
     start_timers();
     return absl::OkStatus();
 }
 
 void control_plane::start_timers() {
-    spawn(every(queue_tick, [this] { context_.targets.on_queue_tick(); }), "queue_tick");
-    spawn(every(judge_tick, [this] { on_judge_tick(); }), "judge_tick");
-    spawn(every(membership_tick,
+    const unsigned factor = context_.settings.tick_factor;
+    spawn(every(queue_tick * factor, [this] { context_.targets.on_queue_tick(); }), "queue_tick");
+    spawn(every(judge_tick * factor, [this] { on_judge_tick(); }), "judge_tick");
+    spawn(every(membership_tick * factor,
                 [this] {
                     fleet_.on_tick();
                     update_services();
                 }),
           "membership_tick");
-    spawn(every(ejector_tick,
+    spawn(every(ejector_tick * factor,
                 [this] {
                     context_.services.on_tick();
                     for (outgoing_limit_report& message : context_.accounts.on_tick()) {
@@ -104,7 +119,6 @@
                 }),
           "ejector_tick");
     spawn(every(second_tick, [this] { on_second(); }), "second_tick");
-    spawn(every(snapshot_tick, [this] { publish_snapshot(); }), "snapshot_tick");
 }
 
 void control_plane::on_judge_tick() {
@@ -123,6 +137,16 @@
     for (outgoing_digest& message : health_.on_second()) {
         spawn(send_digest(std::move(message)), "digest");
     }
+    if (feed_) {
+        fetch_later_configuration();
+    } else {
+        tick_log();
+    }
+    // Reachability changes without a change of the membership.
+    nodes_changed_ = true;
+}
+
+void control_plane::tick_log() {
     const auto fresh = follower_.last_fresh_read();
     if (fresh) {
         claims_.on_fresh_log_read(*fresh);
@@ -134,8 +158,6 @@
     if (!log_is_fresh) {
         spawn(fetch_table(), "fetch_table");
     }
-    // Reachability changes without a change of the membership.
-    nodes_changed_ = true;
 }
 
 awaitable<void> control_plane::announce_drain() {
@@ -144,7 +166,7 @@
     boost::asio::steady_timer timer(control_);
     const steady_time limit = context_.clock.now() + hand_over_timeout;
     // Slots first: keyed requests keep running here until a successor has them.
-    while (claims_.held_slots() > 0 && context_.clock.now() < limit && fleet_.directory().size() > 1) {
+    while (context_.settings.claims_enabled && claims_.held_slots() > 0 && context_.clock.now() < limit && fleet_.directory().size() > 1) {
         claims_.on_tick(replica_.slots(), true);
         timer.expires_after(ejector_tick);
         co_await timer.async_wait(boost::asio::use_awaitable);
@@ -156,6 +178,24 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
+absl::Status control_plane::on_target_call(const target_call& call) {
+    if (call.left) {
+        context_.targets.on_departure(*call.left);
+        update_services();
+        return absl::OkStatus();
+    }
+    const announcement& message = *call.announced;
+    const std::optional<neighbour_settings>& beside = context_.settings.beside;
+    if (beside && (message.service != beside->service || message.address != beside->address)) {
+        return absl::InvalidArgumentError("target " + message.identity.name + " of service " + message.service +
+                                          " at " + to_string(message.address) +
+                                          " is not the one beside this node");
+    }
+    absl::Status taken = context_.targets.on_announcement(message);
+    update_services();
+    return taken;
+}
+
 void control_plane::on_own_target(const kept_target_fact& fact) {
     fleet_.on_own_target(fact);
     changed_services_.insert(fact.service);
@@ -239,16 +279,24 @@
 void control_plane::on_nodes_changed() {
     nodes_changed_ = false;
     node_directory directory = fleet_.directory();
+    if (!context_.settings.claims_enabled) {
+        publish_directory(std::move(directory));
+        return;
+    }
     std::vector<node_identity> alive;
     alive.reserve(directory.size());
     for (const auto& [name, address] : directory) {
         alive.push_back(address.identity);
     }
     claims_.on_alive_nodes(alive);
+    publish_directory(std::move(directory));
+}
+
+void control_plane::publish_directory(node_directory directory) {
     std::vector<std::string> names;
-    names.reserve(alive.size());
-    for (const node_identity& node : alive) {
-        names.push_back(node.name);
+    names.reserve(directory.size());
+    for (const auto& [name, address] : directory) {
+        names.push_back(name);
     }
     // Nodes that left on purpose do not count as cut off.
     context_.accounts.on_nodes(std::move(names), fleet_.possible_node_count());
@@ -264,7 +312,9 @@
     changed.swap(changed_services_);
     for (const std::string& service : changed) {
         context_.services.router(service).on_targets(fleet_.targets_of(service));
-        update_places(service);
+        if (context_.settings.claims_enabled) {
+            update_places(service);
+        }
     }
 }
 
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -15,9 +15,12 @@
 #include "drivers/log/log_follower.h"
 #include "drivers/peer/peer_pool.h"
 #include "modules/node/claim_keeper.h"
+#include "modules/node/configuration_feed.h"
 #include "modules/node/fleet_membership.h"
 #include "modules/node/health_exchange.h"
 #include "modules/node/node_context.h"
+#include "modules/node/node_platform.h"
+#include "modules/node/node_registration.h"
 #include "servers/table/table_replica.h"
 
 namespace teaselpitch {
@@ -26,7 +29,13 @@
 /// thread, except handle_call(), which other threads use through post_control.
 class control_plane {
 public:
-    control_plane(boost::asio::io_context& control, node_context& context);
+    /// Calls for the shards.
+    struct hooks {
+        std::function<void(const caller_limits&)> limits_changed;
+    };
+
+    control_plane(boost::asio::io_context& control, node_context& context, const node_platform& platform,
+                  hooks told);
     control_plane(const control_plane&) = delete;
     control_plane& operator=(const control_plane&) = delete;
 
@@ -35,6 +44,8 @@
     /// Hands over the slots of idempotency keys and tells the other nodes that this node and its targets
     /// leave.
     awaitable<void> announce_drain();
+    /// Takes the announcement or farewell of a target beside this node.
+    absl::Status on_target_call(const target_call& call);
     /// The last message to the other nodes.
     void leave() { fleet_.leave(); }
     void on_own_target(const kept_target_fact& fact);
@@ -50,7 +61,10 @@
     [[nodiscard]] const fleet_membership& fleet() const { return fleet_; }
     [[nodiscard]] const claim_keeper& claims() const { return claims_; }
     [[nodiscard]] const table_replica& replica() const { return replica_; }
-    [[nodiscard]] const log_follower& follower() const { return follower_; }
+    [[nodiscard]] std::uint64_t table_version() const;
+    [[nodiscard]] bool store_available() const;
+    /// True when this node can take callers: it knows a configuration and targets, and does not stop.
+    [[nodiscard]] bool ready() const;
 
 private:
     static constexpr std::string_view table_method = "table";
@@ -71,9 +85,17 @@
     absl::StatusOr<std::string> answer_table(std::string_view payload) const;
     /// Appends a snapshot when the log has grown, so that retention may drop the records before it.
     void publish_snapshot();
+    void on_configuration(const configuration& next);
+    void install_table(std::shared_ptr<const table> rows, std::uint64_t version);
+    /// Asks a node that serves a later version for its configuration.
+    void fetch_later_configuration();
+    awaitable<void> fetch_configuration_from(endpoint peer);
+    void tick_log();
+    void make_feed(const node_platform& platform);
 
     // The other nodes.
     void on_nodes_changed();
+    void publish_directory(node_directory directory);
     void update_services();
     void update_places(const std::string& service);
     void spread_verdicts();
@@ -99,6 +121,12 @@
     bool nodes_changed_ = true;
     std::map<std::string, double> spread_badness_;  ///< Verdicts that the other nodes know, by target.
     std::uint64_t verdict_sequence_ = 0;
+    const hooks hooks_;
+    // Only with the platform's store.
+    std::unique_ptr<keyed_store> store_;
+    std::unique_ptr<configuration_feed> feed_;
+    std::unique_ptr<node_registration> registration_;
+    bool fetching_configuration_ = false;
     std::uint64_t published_as_of_ = 0;  ///< End of the log behind the snapshot that this node appended last.
 };
 
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -16,22 +16,22 @@
 }  // namespace
 
 void control_plane::on_table() {
-    auto routing =
-        std::make_shared<const routing_table>(replica_.current(), context_.settings.availability_zone);
+    install_table(replica_.current(), replica_.version());
+}
+
+void control_plane::install_table(std::shared_ptr<const table> rows, std::uint64_t version) {
+    auto routing = std::make_shared<const routing_table>(rows, context_.settings.availability_zone);
     context_.routing.update(routing);
-    fleet_.set_table_version(replica_.version());
-    context_.metrics.set_table_version(replica_.version());
+    fleet_.set_table_version(version);
+    context_.metrics.set_table_version(version);
     std::set<std::string> services;
-    replica_.current()->services().for_each(
-        [&services](const service_row& row) { services.insert(row.service); });
+    rows->services().for_each([&services](const service_row& row) { services.insert(row.service); });
     for (const std::string& service : services) {
         context_.services.router(service).on_rules(routing->rules_of(service));
     }
     context_.targets.on_rules();
     log_event(event_level::info, "table_in_force",
-              {{"version", replica_.version()},
-               {"services", services.size()},
-               {"routes", replica_.current()->routes().size()}});
+              {{"version", version}, {"services", services.size()}, {"routes", rows->routes().size()}});
 }
 
 void control_plane::on_record(const wire::StoredRecord& record, const apply_result& result) {
@@ -90,6 +90,75 @@
     }
 }
 
+void control_plane::make_feed(const node_platform& platform) {
+    const node_settings& settings = context_.settings;
+    store_ = platform.make_store(control_.get_executor(), settings.store->address,
+                                 [this](std::string_view call, unsigned status) {
+                                     context_.metrics.count_store_call(call, status);
+                                 });
+    feed_ = std::make_unique<configuration_feed>(
+        *store_, platform.source, configuration_feed_options{.seed = context_.self.incarnation},
+        configuration_feed_hooks{
+            .on_configuration = [this](const configuration& next) { on_configuration(next); },
+            .on_availability =
+                [this](const std::string& reason) {
+                    context_.metrics.set_log_available(reason.empty());
+                    log_event(event_level::warning, "store_availability",
+                              {{"available", reason.empty()}, {"reason", reason}});
+                }});
+    registration_ = std::make_unique<node_registration>(
+        *store_, registered_node{context_.self, settings.peer_advertise},
+        [this](std::vector<registered_node> nodes) {
+            std::vector<endpoint> contacts;
+            contacts.reserve(nodes.size());
+            for (const registered_node& node : nodes) {
+                contacts.push_back(node.peer);
+            }
+            fleet_.add_seeds(contacts);
+        });
+}
+
+void control_plane::on_configuration(const configuration& next) {
+    install_table(next.rows, next.version);
+    context_.configured = true;
+    hooks_.limits_changed(next.limits);
+}
+
+void control_plane::fetch_later_configuration() {
+    const std::uint64_t own = feed_->version();
+    if (fetching_configuration_) {
+        return;
+    }
+    for (const member& known : fleet_.members()) {
+        if (known.running() && known.table_version > own) {
+            fetching_configuration_ = true;
+            spawn(fetch_configuration_from(known.peer), "fetch_configuration");
+            return;
+        }
+    }
+}
+
+awaitable<void> control_plane::fetch_configuration_from(endpoint peer) {
+    std::string known = std::to_string(feed_->version());
+    const auto answer = co_await peers_.call(peer, table_method, std::move(known), table_timeout);
+    fetching_configuration_ = false;
+    if (answer.ok() && !answer->empty()) {
+        feed_->offer(*answer, "peer " + to_string(peer));
+    }
+}
+
+std::uint64_t control_plane::table_version() const {
+    return feed_ ? feed_->version() : replica_.version();
+}
+
+bool control_plane::store_available() const {
+    return feed_ ? feed_->store_available() : follower_.log_available();
+}
+
+bool control_plane::ready() const {
+    return context_.configured && !context_.draining && fleet_.target_count() > 0;
+}
+
 void control_plane::publish_snapshot() {
     const auto nodes = context_.nodes.read();
     const bool is_first = std::none_of(
@@ -104,6 +173,11 @@
 }
 
 absl::StatusOr<std::string> control_plane::answer_table(std::string_view payload) const {
+    if (feed_) {
+        // The question is the version in force at the asker.
+        const bool newer = feed_->current() && std::string(payload) != std::to_string(feed_->version());
+        return newer ? feed_->current()->document : std::string();
+    }
     // The question is how far the asker has read; an empty answer says that this node knows no more.
     if (std::string(payload) == std::to_string(replica_.as_of())) {
         return std::string();
--- a/modules/node/fleet_membership.cpp
+++ b/modules/node/fleet_membership.cpp
@@ -24,6 +24,15 @@
             .admin_port = settings.admin_advertise.port};
 }
 
+membership_options options_of(const node_settings& settings) {
+    membership_options options;
+    if (settings.store) {
+        // A node that restarts while the store is away is found by those that knew it.
+        options.dead_probe_interval = std::chrono::milliseconds{1'000};
+    }
+    return options;
+}
+
 announced_state to_announced(target_lifecycle state) {
     switch (state) {
         case target_lifecycle::starting:
@@ -75,7 +84,7 @@
                 .on_verdict = [this](const wire::VerdictFact& fact) { hooks_.verdict(fact); },
                 .on_quarantine = [this](const wire::QuarantineFact& fact) { hooks_.quarantine(fact); }}),
       members_(context.clock, std::mt19937_64(std::random_device{}()), self_of(context),
-               context.settings.seeds, {},
+               context.settings.seeds, options_of(context.settings),
                {.on_change = [this](const member_change& change) { on_member_change(change); },
                 .on_fact = [this](const wire::Fact& fact) { return targets_.apply(fact); }}),
       sync_(members_, targets_),
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -40,6 +40,7 @@
     void set_table_version(std::uint64_t version) { members_.set_table_version(version); }
     void set_draining() { members_.set_draining(true); }
     void leave();
+    void add_seeds(std::span<const endpoint> seeds) { members_.add_seeds(seeds); }
     void gossip(const wire::Fact& fact);
     /// Result of an attempt to connect to a peer.
     void on_direct_result(std::string_view node, bool reached);
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -14,15 +14,24 @@
 
 namespace teaselpitch {
 
-node::node(const node_settings& settings, const time_source& clock, std::uint64_t incarnation)
+node::node(const node_settings& settings, node_platform platform, const time_source& clock,
+           std::uint64_t incarnation)
     : settings_(settings),
-      context_(settings_, clock, {settings_.name, incarnation},
+      platform_(std::move(platform)),
+      context_(settings_, platform_.dialect, clock, {settings_.name, incarnation},
                [this](std::function<void()> work) { boost::asio::post(control_, std::move(work)); }),
-      plane_(control_, context_),
-      api_(context_, plane_, [this] { request_drain(); }),
+      plane_(control_, context_, platform_,
+             {.limits_changed = [this](const caller_limits& limits) { set_caller_limits(limits); }}),
+      api_(context_, plane_, platform_, [this] { request_drain(); }),
       admin_(control_.get_executor(), settings_.admin_listen,
              [this](admin_request request) { return api_.handle(std::move(request)); }),
       shards_(settings_.threads) {
+    if (settings_.store) {
+        context_.configured = false;
+        readiness_ = std::make_unique<admin_server>(
+            control_.get_executor(), settings_.store->readiness_listen,
+            [this](admin_request request) { return api_.answer_readiness(std::move(request)); });
+    }
     context_.target_changed = [this](const kept_target_fact& fact) { plane_.on_own_target(fact); };
     context_.target_crashed = [this](const gate_run& run, std::uint64_t fingerprint) {
         context_.post_control(
@@ -46,6 +55,11 @@
     if (absl::Status started = plane_.start(); !started.ok()) {
         return started;
     }
+    if (readiness_) {
+        if (const auto started = readiness_->start(); !started.ok()) {
+            return started.status();
+        }
+    }
     boost::asio::signal_set signals(control_, SIGTERM, SIGINT);
     signals.async_wait([this](const boost::system::error_code& error, int signal) {
         if (!error) {
@@ -97,6 +111,12 @@
     boost::asio::co_spawn(control_, drain(), [this](std::exception_ptr) { control_.stop(); });
 }
 
+void node::set_caller_limits(const caller_limits& limits) {
+    for (std::size_t i = 0; i < shard_states_.size(); ++i) {
+        boost::asio::post(shards_.context(i), [this, i, limits] { shard_states_[i]->set_caller_limits(limits); });
+    }
+}
+
 awaitable<void> node::drain() {
     using namespace boost::asio::experimental::awaitable_operators;
     context_.draining = true;
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -10,14 +10,15 @@
 #include "modules/node/control_plane.h"
 #include "modules/node/node_context.h"
 #include "modules/node/node_shard.h"
-#include "platform/shard_group.h"
+#include "drivers/threads/shard_group.h"
 
 namespace teaselpitch {
 
 /// One node: the control thread's tasks and the shards. run() blocks until the node has drained.
 class node {
 public:
-    node(const node_settings& settings, const time_source& clock, std::uint64_t incarnation);
+    node(const node_settings& settings, node_platform platform, const time_source& clock,
+         std::uint64_t incarnation);
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node();
@@ -30,15 +31,18 @@
     void request_drain();
     awaitable<void> drain();
     awaitable<void> drain_shard(std::size_t index);
+    void set_caller_limits(const caller_limits& limits);
     control_handler make_control_handler();
     [[nodiscard]] choice_or_refusal<route_choice> choose_holder(const request_head& head) const;
 
     const node_settings settings_;
+    const node_platform platform_;
     boost::asio::io_context control_{1};
     node_context context_;
     control_plane plane_;
     admin_api api_;
     admin_server admin_;
+    std::unique_ptr<admin_server> readiness_;  ///< Only with the platform's store.
     shard_group shards_;
     std::vector<std::unique_ptr<node_shard>> shard_states_;
     bool drain_requested_ = false;
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -7,11 +7,19 @@
 
 constexpr std::size_t records_per_subject = 4'096;
 
+/// Announcements may arrive seconds late, so a target is gone only after several have been missed.
+std::chrono::milliseconds renewal_limit_of(const node_settings& settings) {
+    constexpr int missed_heartbeats = 4;
+    return settings.store ? settings.store->heartbeat * missed_heartbeats : target_keeper::usual_renewal_limit;
+}
+
 }  // namespace
 
-node_context::node_context(const node_settings& settings_in, const time_source& clock_in,
-                           node_identity self_in, std::function<void(std::function<void()>)> post_control_in)
+node_context::node_context(const node_settings& settings_in, const http_dialect& dialect_in,
+                           const time_source& clock_in, node_identity self_in,
+                           std::function<void(std::function<void()>)> post_control_in)
     : settings(settings_in),
+      dialect(dialect_in),
       clock(clock_in),
       self(std::move(self_in)),
       post_control(std::move(post_control_in)),
@@ -21,7 +29,8 @@
       routing(
           std::make_shared<const routing_table>(std::make_shared<const table>(), settings.availability_zone)),
       nodes(std::make_shared<const node_directory>()),
-      services(clock, {.own_zone = settings.availability_zone, .warm_up = settings.warm_up}, decisions,
+      services(clock, {.own_zone = settings.availability_zone, .warm_up = settings.warm_up},
+               {.floor_per_s = settings.retry_floor_per_s}, decisions,
                [this](const std::string& service) {
                    post_control([this, service] { services.router(service).refresh(); });
                }),
@@ -31,7 +40,7 @@
            .changed = [this](const kept_target_fact& fact) { target_changed(fact); },
            .quarantined = [this](const gate_run& run,
                                  std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
-          decisions),
+          decisions, renewal_limit_of(settings)),
       accounts(clock, self, [this] { return routing.read(); }) {}
 
 }  // namespace teaselpitch
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -14,7 +14,8 @@
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
 #include "modules/node/target_keeper.h"
-#include "platform/node_settings.h"
+#include "drivers/settings/node_settings.h"
+#include "servers/exchange/http_dialect.h"
 #include "servers/health/path_judge.h"
 #include "servers/records/decision_log.h"
 #include "servers/records/outcome_counters.h"
@@ -35,10 +36,11 @@
 /// State that the shards and the control thread of one node share. Every member is safe to use from several
 /// threads.
 struct node_context {
-    node_context(const node_settings& settings_in, const time_source& clock_in, node_identity self_in,
-                 std::function<void(std::function<void()>)> post_control_in);
+    node_context(const node_settings& settings_in, const http_dialect& dialect_in, const time_source& clock_in,
+                 node_identity self_in, std::function<void(std::function<void()>)> post_control_in);
 
     const node_settings& settings;
+    const http_dialect& dialect;  ///< Header fields towards callers and targets.
     const time_source& clock;
     const node_identity self;
     /// Runs a function on the control thread.
@@ -54,6 +56,7 @@
     target_keeper targets;
     account_limits accounts;
     std::atomic<bool> draining{false};
+    std::atomic<bool> configured{true};  ///< False until the first configuration of a node that needs one.
     std::atomic<ticket_id> tickets{1};
     std::atomic<std::uint64_t> request_numbers{1};
 
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -43,6 +43,7 @@
       attempts_(counters(registry_, "teaselpitch_attempts_total", "Attempts at targets by outcome")),
       gate_refusals_(counters(registry_, "teaselpitch_gate_refusals_total", "Requests refused by the gate")),
       gate_seconds_(histograms(registry_, "teaselpitch_target_seconds", "Time until the target's head")),
+      store_calls_(counters(registry_, "teaselpitch_store_calls_total", "Calls to the platform's store")),
       silent_connections_(counters(registry_, "teaselpitch_silent_connections_total",
                                    "Peer connections replaced because they went silent")
                               .Add({})),
@@ -71,6 +72,10 @@
     gate_seconds_.Add({{"service", std::string(service)}}, latency_buckets).Observe(seconds(latency));
 }
 
+void node_metrics::count_store_call(std::string_view call, unsigned status) {
+    store_calls_.Add({{"call", std::string(call)}, {"status", std::to_string(status)}}).Increment();
+}
+
 void node_metrics::count_silent_connection() {
     silent_connections_.Increment();
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -28,6 +28,7 @@
     void count_silent_connection();
     void set_table_version(std::uint64_t version);
     void set_known(std::size_t nodes, std::size_t targets);
+    void count_store_call(std::string_view call, unsigned status);
     void set_log_available(bool available);
     void set_claims(std::size_t live, std::size_t bytes);
 
@@ -41,6 +42,7 @@
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& gate_refusals_;
     prometheus::Family<prometheus::Histogram>& gate_seconds_;
+    prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Counter& silent_connections_;
     prometheus::Gauge& table_version_;
     prometheus::Gauge& known_nodes_;
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -10,13 +10,24 @@
 namespace teaselpitch {
 namespace {
 
-caller_server_options caller_options(const node_settings& settings) {
+caller_server_options caller_options(const node_settings& settings, const http_dialect& dialect) {
     caller_server_options options;
     options.listen = settings.caller_listen;
     options.reuse_port = true;
     options.node = settings.name;
-    options.max_header_bytes = static_cast<std::uint32_t>(settings.max_header_bytes);
-    options.max_body_bytes = settings.max_body_bytes;
+    options.limits.max_header_bytes = static_cast<std::uint32_t>(settings.max_header_bytes);
+    options.limits.max_body_bytes = settings.max_body_bytes;
+    options.dialect = dialect;
+    return options;
+}
+
+ingress_options ingress_options_of(const node_settings& settings) {
+    ingress_options options;
+    options.default_timeout = settings.default_timeout;
+    options.replay_bytes = settings.replay_bytes;
+    options.held_bytes = settings.held_answer_bytes;
+    options.free_slot_hops = settings.free_slot_hops;
+    options.caller_service = settings.beside ? settings.beside->service : std::string();
     return options;
 }
 
@@ -54,14 +65,15 @@
       router_(context),
       peers_(executor, context.clock,
              {.bind_address = context.settings.bind_address.value_or(""),
+              .ping_deadline = context.settings.ping_deadline,
               .on_silent_connection = [this](const endpoint& peer) { on_silent_connection(peer); }}),
       gate_(context.clock, context.tickets, make_gate_hooks()),
       own_entry_(std::make_unique<own_entry>(gate_, hooks_)),
       peer_entry_(context, *own_entry_,
                   [this](const endpoint& peer, const request_head& head, body_reader& body,
                          response_writer& writer) { return peers_.exchange(peer, head, body, writer); }),
-      ingress_(context.clock, {.default_timeout = context.settings.default_timeout}, make_ingress_hooks()),
-      callers_(executor, caller_options(context.settings), ingress_, context.clock,
+      ingress_(context.clock, ingress_options_of(context.settings), make_ingress_hooks()),
+      callers_(executor, caller_options(context.settings, context.dialect), ingress_, context.clock,
                [this] { return new_request_id(); }),
       peer_server_(executor, peer_options(context.settings), peer_entry_, hooks_.control, context.clock) {}
 
@@ -93,6 +105,9 @@
     hooks.is_quarantined = [this](const request_head& head) {
         return context_.targets.quarantine().is_quarantined(head.fingerprint);
     };
+    hooks.is_suspect = [this](const request_head& head, const guarded_target& target) {
+        return context_.targets.is_suspect(head, target);
+    };
     hooks.send = [this](const guarded_target& target, const request_head& head, body_reader& body,
                         response_writer& writer, const write_permission& permission) {
         return send_to_target(target, head, body, writer, permission);
@@ -110,6 +125,7 @@
 
 ingress_hooks node_shard::make_ingress_hooks() {
     ingress_hooks hooks;
+    hooks.check_ready = [this] { return router_.check_ready(); };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
     hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
@@ -191,6 +207,9 @@
     });
     target_client_options options;
     options.target_name = target.identity().name;
+    options.dialect = context_.dialect;
+    options.idle_timeout = context_.settings.target_idle;
+    options.non_idempotent_idle = std::min(options.idle_timeout, context_.settings.non_idempotent_idle);
     auto client = std::make_shared<target_client>(executor_, target.address(), context_.clock, options);
     clients_.emplace(target.identity(), client);
     return client;
--- a/modules/node/node_shard.h
+++ b/modules/node/node_shard.h
@@ -44,6 +44,7 @@
     absl::Status start();
     /// Answers what is in flight and completes when every connection is closed.
     awaitable<void> drain();
+    void set_caller_limits(const caller_limits& limits) { callers_.set_limits(limits); }
     peer_pool& peers() { return peers_; }
 
 private:
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -32,15 +32,35 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// Place of a request in a weighted split, in 0..1. It follows from the id, so that each node decides alike.
+double position_of(const request_head& head) {
+    constexpr unsigned used_bits = 53;
+    return static_cast<double>(stable_hash(head.request_id) >> (64U - used_bits)) * 0x1.0p-53;
+}
+
 }  // namespace
 
+refusal request_router::check_ready() const {
+    if (context_.configured) {
+        return {};
+    }
+    return {error_kind::not_ready, "the node has no configuration yet", std::nullopt};
+}
+
 std::optional<route_decision> request_router::find_route(const request_head& head) const {
     const auto routing = context_.routing.read();
     const auto match = routing->routes().find(head.host, head.path, head.method);
     if (!match) {
         return std::nullopt;
     }
-    return route_decision{std::string(match->service), match->non_idempotent, routing->timeout_of(*match)};
+    route_decision decision;
+    decision.service = match->split.empty() ? match->service : part_at(match->split, position_of(head)).service;
+    decision.non_idempotent = match->non_idempotent;
+    decision.timeout = routing->timeout_of(*match);
+    decision.attempts = match->attempts;
+    decision.objective = match->objective;
+    decision.rank = match->priority;
+    return decision;
 }
 
 refusal request_router::admit(const request_head& head) const {
@@ -94,7 +114,8 @@
         return false;
     }
     failed_attempt attempt;
-    attempt.error = result.error;
+    attempt.error = is_failed_answer(result) ? error_kind::answer_broken : result.error;
+    attempt.reached_target = reached_target(result);
     attempt.execution = result.execution;
     attempt.head_written = result.head_written;
     attempt.non_idempotent = head.non_idempotent;
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -14,6 +14,7 @@
     explicit request_router(node_context& context) : context_(context) {}
 
     // Queries.
+    [[nodiscard]] refusal check_ready() const;
     [[nodiscard]] std::optional<route_decision> find_route(const request_head& head) const;
     [[nodiscard]] refusal admit(const request_head& head) const;
 
--- a/modules/node/routing_table.cpp
+++ b/modules/node/routing_table.cpp
@@ -28,7 +28,11 @@
                            .path_prefix = row.path_prefix,
                            .service = row.service,
                            .rule = to_rule(row.non_idempotent),
-                           .timeout = std::chrono::milliseconds{row.timeout_ms}});
+                           .timeout = std::chrono::milliseconds{row.timeout_ms},
+                           .attempts = row.attempts,
+                           .objective = std::chrono::milliseconds{row.objective_ms},
+                           .priority = row.priority,
+                           .split = parse_split(row.split).value_or(std::vector<split_part>{})});
     });
     return entries;
 }
--- a/modules/node/service_directory.cpp
+++ b/modules/node/service_directory.cpp
@@ -5,10 +5,11 @@
 namespace teaselpitch {
 
 service_directory::service_directory(const time_source& clock, chooser_options options,
-                                     decision_log& decisions,
+                                     retry_options retries, decision_log& decisions,
                                      std::function<void(const std::string&)> shares_changed)
     : clock_(clock),
       options_(std::move(options)),
+      retries_(retries),
       decisions_(decisions),
       shares_changed_(std::move(shares_changed)),
       routers_(std::make_shared<const router_map>()) {}
@@ -18,7 +19,7 @@
         return *known;
     }
     auto created = std::make_shared<service_router>(clock_, service, options_, seeds_(), decisions_,
-                                                    [this, service] { shares_changed_(service); });
+                                                    [this, service] { shares_changed_(service); }, retries_);
     auto next = std::make_shared<router_map>(*routers_.read());
     next->emplace(service, created);
     routers_.update(std::move(next));
--- a/modules/node/service_directory.h
+++ b/modules/node/service_directory.h
@@ -19,7 +19,8 @@
     using router_map = name_map<std::shared_ptr<service_router>>;
 
     /// `shares_changed` is called on any thread when a service's shares changed.
-    service_directory(const time_source& clock, chooser_options options, decision_log& decisions,
+    service_directory(const time_source& clock, chooser_options options, retry_options retries,
+                      decision_log& decisions,
                       std::function<void(const std::string& service)> shares_changed);
 
     // Commands for the control thread.
@@ -34,6 +35,7 @@
 private:
     const time_source& clock_;
     const chooser_options options_;
+    const retry_options retries_;
     decision_log& decisions_;
     const std::function<void(const std::string&)> shares_changed_;
     std::random_device seeds_;
--- a/modules/node/service_router.cpp
+++ b/modules/node/service_router.cpp
@@ -33,13 +33,13 @@
 
 service_router::service_router(const time_source& clock, std::string service, chooser_options options,
                                std::uint64_t seed, decision_log& decisions,
-                               std::function<void()> shares_changed)
+                               std::function<void()> shares_changed, retry_options retries)
     : service_(std::move(service)),
       decisions_(decisions),
       shares_changed_(std::move(shares_changed)),
       ejector_(clock, ejector_options{.states = {.warm_up = options.warm_up}}),
       chooser_(clock, std::move(options), seed),
-      retries_(clock, retry_options{}),
+      retries_(clock, retries),
       node_by_target_(std::make_shared<const name_map<std::string>>()) {}
 
 void service_router::on_targets(std::vector<registered_target> targets) {
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -1,5 +1,6 @@
 #include "modules/node/target_keeper.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <exception>
 #include <limits>
@@ -76,6 +77,7 @@
         case error_kind::deadline_expired:
         case error_kind::body_too_large:
         case error_kind::malformed_request:
+        case error_kind::target_refused:
             return work_outcome::cancelled;
         default:
             return work_outcome::failure;
@@ -101,22 +103,36 @@
 kept_target::kept_target(const time_source& clock, const announcement& first,
                          const admission_options& admission, const judge_options& judging)
     : guarded_(clock, first.identity, first.service, first.address, admission),
-      judge_(clock, first.identity.name, judging) {}
+      judge_(clock, first.identity.name, judging),
+      failures_(clock, failure_filter_options{}) {}
 
-target_keeper::target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions)
+target_keeper::target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions,
+                             std::chrono::milliseconds renewal_limit)
     : clock_(clock),
       hooks_(std::move(hooks)),
       decisions_(decisions),
+      renewal_limit_(renewal_limit),
       quarantine_(clock, quarantine_options{}),
       targets_(std::make_shared<const target_map>()) {}
 
 absl::Status target_keeper::on_announcement(const announcement& message) {
+    const auto left = departed_.find(message.identity.name);
+    if (left != departed_.end() && message.identity.incarnation <= left->second) {
+        return absl::FailedPreconditionError("the target has left; a new incarnation must announce itself");
+    }
     const auto known = entries_.find(message.identity.name);
     if (known == entries_.end()) {
+        if (absl::Status room = make_room_at(message); !room.ok()) {
+            return room;
+        }
         add_target(message);
         return absl::OkStatus();
     }
     const announcement& latest = known->second.latest;
+    if (message.identity.incarnation == latest.identity.incarnation && message.sequence != 0 &&
+        message.sequence <= latest.sequence) {
+        return absl::FailedPreconditionError("a later announcement of the target has arrived before");
+    }
     if (message.identity.incarnation < latest.identity.incarnation) {
         return absl::FailedPreconditionError("a later incarnation of the target has announced itself");
     }
@@ -137,6 +153,50 @@
     return absl::OkStatus();
 }
 
+// An address belongs to one target at a time: the one that started last.
+absl::Status target_keeper::make_room_at(const announcement& message) {
+    for (auto entry = entries_.begin(); entry != entries_.end(); ++entry) {
+        if (entry->second.latest.address != message.address) {
+            continue;
+        }
+        if (message.identity.incarnation <= entry->second.latest.identity.incarnation) {
+            return absl::FailedPreconditionError("target " + entry->first +
+                                                 " started later at the same address");
+        }
+        entry->second.target->guarded().set_leaving();
+        const kept_target_fact fact = fact_of(entry->second, true);
+        {
+            const std::lock_guard lock(mutex_);
+            entries_.erase(entry);
+        }
+        publish_map();
+        log_event(event_level::info, "target_gone",
+                  {{"target", fact.identity.name},
+                   {"service", fact.service},
+                   {"reason", "another target started at its address"},
+                   {"successor", message.identity.name}});
+        hooks_.changed(fact);
+        break;
+    }
+    return absl::OkStatus();
+}
+
+void target_keeper::on_departure(const target_departure& message) {
+    const auto known = entries_.find(message.target);
+    const std::uint64_t latest = known == entries_.end() ? 0 : known->second.latest.identity.incarnation;
+    const std::uint64_t ended = message.incarnation.value_or(latest);
+    std::uint64_t& departed = departed_[message.target];
+    departed = std::max(departed, ended);
+    log_event(event_level::info, "target_departs",
+              {{"target", message.target}, {"incarnation", ended}, {"known", known != entries_.end()}});
+    if (known == entries_.end() || latest > ended) {
+        return;
+    }
+    announcement farewell = known->second.latest;
+    farewell.state = target_lifecycle::leaving;
+    update_target(known->second, farewell);
+}
+
 void target_keeper::add_target(const announcement& message) {
     const service_admission rules = hooks_.admission_of(message.service);
     admission_options admission;
@@ -166,6 +226,7 @@
     const bool state_changed = entry.latest.state != message.state;
     const bool slots_changed = entry.latest.slots != message.slots;
     if (!state_changed && !slots_changed) {
+        entry.latest.sequence = message.sequence;
         return;
     }
     // The gate refuses new work before any other node hears of it.
@@ -199,7 +260,9 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto entry = entries_.begin(); entry != entries_.end();) {
-            if (clock_.now() - entry->second.renewed_at < renewal_limit) {
+            // A target that answers requests lives, also when its announcements are delayed.
+            const steady_time heard = std::max(entry->second.renewed_at, entry->second.target->answered_at());
+            if (clock_.now() - heard < renewal_limit_) {
                 ++entry;
                 continue;
             }
@@ -241,6 +304,11 @@
     }
 }
 
+bool target_keeper::is_suspect(const request_head& head, const guarded_target& target) {
+    const auto kept = find(target.identity().name);
+    return kept && !kept->failures().try_take(head.non_idempotent);
+}
+
 void target_keeper::on_run_started(const gate_run& run) {
     if (const auto target = find(run.target.identity().name)) {
         target->judge().on_start(run.ticket);
@@ -250,6 +318,9 @@
 void target_keeper::on_run_ended(const gate_run_end& end) {
     const auto target = find(end.run.target.identity().name);
     if (target && target->guarded().identity() == end.run.target.identity()) {
+        if (end.result.error == error_kind::none) {
+            target->set_answered(clock_.now());
+        }
         judge_end(*target, end);
     }
     const std::uint64_t fingerprint = end.run.head.fingerprint;
@@ -282,7 +353,13 @@
 }
 
 void target_keeper::judge_end(kept_target& target, const gate_run_end& end) {
-    target.judge().on_end(end.run.ticket, outcome_of(end.result, end.http_status), end.head_latency,
+    const work_outcome outcome = outcome_of(end.result, end.http_status);
+    if (outcome == work_outcome::success) {
+        target.failures().on_success();
+    } else if (outcome != work_outcome::cancelled) {
+        target.failures().on_failure();
+    }
+    target.judge().on_end(end.run.ticket, outcome, end.head_latency,
                           end.run.head.fingerprint);
     target.guarded().set_badness(target.judge().badness());
 }
--- a/modules/node/target_keeper.h
+++ b/modules/node/target_keeper.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,6 +19,7 @@
 #include "modules/proxy/gate.h"
 #include "modules/proxy/guarded_target.h"
 #include "servers/health/crash_quarantine.h"
+#include "servers/health/failure_filter.h"
 #include "servers/health/target_judge.h"
 #include "servers/records/decision_log.h"
 #include "servers/routing/ejector.h"
@@ -31,6 +34,20 @@
     endpoint address;
     std::uint32_t slots = 0;
     target_lifecycle state = target_lifecycle::starting;
+    std::uint64_t sequence = 0;                ///< Grows with each announcement of one life; 0 when not counted.
+    std::chrono::milliseconds cold_for{0};     ///< How much longer the target is slow after its start.
+};
+
+/// A target leaves and finishes only what it already has.
+struct target_departure {
+    std::string target;
+    std::optional<std::uint64_t> incarnation;  ///< Empty when the life that is known here ends.
+};
+
+/// A call of a target. Exactly one of the members is set.
+struct target_call {
+    std::optional<announcement> announced;
+    std::optional<target_departure> left;
 };
 
 /// Parses the JSON body of POST /v1/announce; an error names the field.
@@ -44,6 +61,9 @@
 
     guarded_target& guarded() { return guarded_; }
     target_judge& judge() { return judge_; }
+    failure_filter& failures() { return failures_; }
+    void set_answered(steady_time now) { answered_at_.store(now, std::memory_order_relaxed); }
+    [[nodiscard]] steady_time answered_at() const { return answered_at_.load(std::memory_order_relaxed); }
 
     [[nodiscard]] const guarded_target& guarded() const { return guarded_; }
     [[nodiscard]] const target_judge& judge() const { return judge_; }
@@ -51,6 +71,8 @@
 private:
     guarded_target guarded_;
     target_judge judge_;
+    failure_filter failures_;
+    std::atomic<steady_time> answered_at_{steady_time{}};
 };
 
 /// A change of a guarded target that the other nodes must hear about.
@@ -81,12 +103,15 @@
 class target_keeper {
 public:
     /// Three missed renewals of one second end a target's membership.
-    static constexpr std::chrono::milliseconds renewal_limit{3'000};
+    static constexpr std::chrono::milliseconds usual_renewal_limit{3'000};
 
-    target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions);
+    target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions,
+                  std::chrono::milliseconds renewal_limit = usual_renewal_limit);
 
     // Commands for the control thread.
     absl::Status on_announcement(const announcement& message);
+    /// The target takes no new work from now on.
+    void on_departure(const target_departure& message);
     /// Applies the table's settings to all targets.
     void on_rules();
     /// Removes targets that stopped renewing.
@@ -97,6 +122,8 @@
     // Commands for any thread.
     void on_queue_tick();
     void on_judge_tick();
+    /// True when the target failed its latest work, so that the request should go to another one.
+    bool is_suspect(const request_head& head, const guarded_target& target);
     void on_run_started(const gate_run& run);
     void on_run_ended(const gate_run_end& end);
     crash_quarantine& quarantine() { return quarantine_; }
@@ -117,6 +144,7 @@
     };
     using target_map = name_map<std::shared_ptr<kept_target>>;
 
+    absl::Status make_room_at(const announcement& message);
     void add_target(const announcement& message);
     void update_target(membership_entry& entry, const announcement& message);
     void publish_map();
@@ -126,10 +154,12 @@
     const time_source& clock_;
     const target_keeper_hooks hooks_;
     decision_log& decisions_;
+    const std::chrono::milliseconds renewal_limit_;
     crash_quarantine quarantine_;
     rcu_cell<target_map> targets_;
     mutable std::mutex mutex_;
     std::map<std::string, membership_entry, std::less<>> entries_;
+    std::map<std::string, std::uint64_t> departed_;  ///< Incarnation that left, by target.
     bool leaving_ = false;
 };
 
--- a/modules/proxy/gate.cpp
+++ b/modules/proxy/gate.cpp
@@ -54,6 +54,10 @@
         co_return refuse(head, target.get(), error_kind::quarantined,
                          "the request's fingerprint is quarantined", std::chrono::milliseconds{0});
     }
+    if (hooks_.is_suspect && !head.last_resort && hooks_.is_suspect(head, *target)) {
+        co_return refuse(head, target.get(), error_kind::target_suspect, "the target failed its latest work",
+                         std::chrono::milliseconds{0});
+    }
     co_return co_await admit_and_run(target, head, body, writer, permission);
 }
 
@@ -64,7 +68,7 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     // The place is taken before the offer, because another shard may admit the ticket at once.
     waiter_table<admission_event>::registration place(target->waiters(), ticket, executor);
-    const offer_result offered = target->offer(ticket, head.deadline, head.account);
+    const offer_result offered = target->offer(ticket, head.deadline, head.account, head.may_queue);
     if (offered.outcome == offer_outcome::refused) {
         co_return refuse(head, target.get(), offered.error, offered.reason, offered.retry_after);
     }
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -47,26 +47,56 @@
                                              response_writer& writer) {
     const steady_time start = clock_.now();
     request_head routed = head;
+    routed.caller_service = options_.caller_service;
     replayable_body replay(body, options_.replay_bytes);
     answer_observer observer(writer, clock_);
-    progress state;
-    exchange_result result = co_await serve(routed, replay, observer, state);
+    held_answer answer(observer, options_.held_bytes);
+    progress state{.search = target_search(options_.free_slot_hops, options_.max_hops)};
+    exchange_result result = co_await serve(routed, replay, answer, state);
+    if (answer.nothing_sent() && (answer.has_whole() || answer.has_aside())) {
+        result = co_await deliver(answer, std::move(result));
+    }
     const unsigned status =
         result.error == error_kind::none ? observer.status() : answer_of(result.error).http_status;
     hooks_.exchange_ended({routed, result, status, state.attempts, clock_.now() - start});
     co_return result;
 }
 
-awaitable<exchange_result> ingress::serve(request_head& head, replayable_body& body, response_writer& writer,
+awaitable<exchange_result> ingress::deliver(held_answer& answer, exchange_result result) {
+    const absl::Status written = co_await answer.deliver();
+    if (!written.ok()) {
+        result = failed_exchange(error_kind::cancelled, "the answer could not be passed on");
+    } else if (result.error != error_kind::none) {
+        // A later attempt failed, and the failure that a target answered before it is the truth about the request.
+        result.error = error_kind::none;
+        result.execution = execution_state::run;
+    }
+    result.head_written = true;
+    co_return result;
+}
+
+awaitable<exchange_result> ingress::serve(request_head& head, replayable_body& body, held_answer& answer,
                                           progress& state) {
+    if (hooks_.check_ready) {
+        const refusal not_ready = hooks_.check_ready();
+        if (not_ready.error != error_kind::none) {
+            co_return refused_exchange(not_ready);
+        }
+    }
     const std::optional<route_decision> route = hooks_.find_route(head);
     if (!route) {
         co_return failed_exchange(error_kind::no_route, "no route for " + head.host + head.path);
     }
     head.service = route->service;
     head.non_idempotent = route->non_idempotent;
+    head.rank = route->rank;
+    const steady_time arrival = clock_.now();
     const auto timeout = route->timeout.count() > 0 ? route->timeout : options_.default_timeout;
-    head.deadline = std::min(head.deadline, clock_.now() + timeout);
+    head.deadline = std::min(head.deadline, arrival + timeout);
+    if (route->objective.count() > 0) {
+        head.objective = arrival + route->objective;
+    }
+    state.allowed_sends = route->attempts;
     if (head.has_body) {
         const absl::Status read = co_await body.read_ahead();
         if (!read.ok()) {
@@ -80,11 +110,11 @@
     if (refused.error != error_kind::none) {
         co_return refused_exchange(refused);
     }
-    co_return co_await attempt_all(head, body, writer, state);
+    co_return co_await attempt_all(head, body, answer, state);
 }
 
-awaitable<exchange_result> ingress::attempt_all(const request_head& head, replayable_body& body,
-                                                response_writer& writer, progress& state) {
+awaitable<exchange_result> ingress::attempt_all(request_head& head, replayable_body& body,
+                                                held_answer& answer, progress& state) {
     std::optional<exchange_result> last;
     while (true) {
         if (clock_.now() >= head.deadline) {
@@ -92,43 +122,54 @@
                 ? std::move(*last)
                 : failed_exchange(error_kind::deadline_expired, "the deadline passed at the ingress");
         }
-        const choice_or_refusal<route_choice> chosen = hooks_.choose(head, state.tried);
+        head.may_queue = state.search.may_queue();
+        head.last_resort = state.search.is_last_resort();
+        const choice_or_refusal<route_choice> chosen = hooks_.choose(head, state.search.excluded());
         if (!chosen.choice) {
+            if (state.search.widen()) {
+                continue;
+            }
             // The failure of an earlier attempt says more than that no further target is left.
             co_return last ? std::move(*last) : refused_exchange(chosen.refused);
         }
-        exchange_result result = co_await attempt_one(*chosen.choice, head, body, writer, state);
-        const bool try_again = may_try_again(head, result, body, state);
+        exchange_result result = co_await attempt_one(*chosen.choice, head, body, answer, state);
+        const bool try_again = may_try_again(head, result, body, answer, state);
         last = more_truthful(std::move(last), std::move(result));
         if (!try_again) {
             co_return std::move(*last);
         }
+        answer.set_aside();
         body.rewind();
     }
 }
 
 awaitable<exchange_result> ingress::attempt_one(const route_choice& choice, const request_head& head,
-                                                replayable_body& body, response_writer& writer,
+                                                replayable_body& body, held_answer& answer,
                                                 progress& state) {
     request_head attempt = head;
     attempt.target = choice.target;
     const steady_time start = clock_.now();
-    exchange_result result = co_await hooks_.dispatch(choice, attempt, body, writer);
-    ++state.count;
-    if (!choice.target.name.empty()) {
-        state.tried.push_back(choice.target.name);
-    }
+    exchange_result result = co_await hooks_.dispatch(choice, attempt, body, answer);
+    result.answer_status = answer.status();
+    // An answer that is still held can be replaced.
+    result.head_written = result.head_written && !answer.nothing_sent();
+    state.sends += reached_target(result) ? 1 : 0;
+    state.search.on_attempt(choice.target.name, result);
     state.attempts.push_back(describe_attempt(choice, result));
-    hooks_.attempt_ended({attempt, choice, result, state.count, clock_.now() - start});
+    hooks_.attempt_ended({attempt, choice, result, static_cast<std::uint32_t>(state.attempts.size()),
+                          clock_.now() - start});
     co_return result;
 }
 
 bool ingress::may_try_again(const request_head& head, const exchange_result& result,
-                            const replayable_body& body, const progress& state) const {
-    if (result.error == error_kind::none || result.head_written || !body.can_replay()) {
+                            const replayable_body& body, const held_answer& answer,
+                            const progress& state) const {
+    const bool answered = result.error == error_kind::none && !is_failed_answer(result);
+    if (answered || !answer.nothing_sent() || !body.can_replay() || state.sends >= state.allowed_sends ||
+        state.search.exhausted()) {
         return false;
     }
-    return hooks_.may_retry(head, result, state.count);
+    return hooks_.may_retry(head, result, std::max(state.sends, 1U));
 }
 
 std::uint64_t request_fingerprint(const request_head& head, std::span<const std::byte> body_prefix) {
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "modules/proxy/held_answer.h"
 #include "modules/proxy/replayable_body.h"
+#include "servers/routing/target_search.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -32,6 +34,9 @@
     std::string service;
     bool non_idempotent = false;
     std::chrono::milliseconds timeout{};
+    std::uint32_t attempts = 3;              ///< Targets that the request may be sent to.
+    std::chrono::milliseconds objective{0};  ///< Latency above which the answer is late; 0 for none.
+    std::uint32_t rank = 0;                  ///< Requests with a lower rank go first.
 };
 
 /// A failed choice or admission.
@@ -67,6 +72,8 @@
 
 /// Decisions that the ingress asks for. All run on the shard of the exchange and do not block.
 struct ingress_hooks {
+    /// Empty when the node can route; otherwise the refusal of every request. Null when it always can.
+    std::function<refusal()> check_ready = nullptr;
     std::function<std::optional<route_decision>(const request_head&)> find_route;
     std::function<refusal(const request_head&)> admit;  ///< Account limits, quarantine, draining.
     std::function<choice_or_refusal<route_choice>(const request_head&, std::span<const std::string> tried)>
@@ -84,6 +91,11 @@
 struct ingress_options {
     std::chrono::milliseconds default_timeout{10'000};
     std::size_t replay_bytes = 64 * 1024;  ///< Body bytes kept for further attempts and the fingerprint.
+    std::size_t held_bytes = 0;  ///< Longest answer that is held until it is whole; 0 streams all answers.
+    /// Gates that are asked for a free slot before the request queues at one; 0 queues at the first.
+    std::uint32_t free_slot_hops = 0;
+    std::uint32_t max_hops = 8;   ///< Gates that are asked in all.
+    std::string caller_service;   ///< Service of this instance, for targets; empty for none.
 };
 
 /// Takes a caller's request, finds its service, and tries targets until one answers or trying again would
@@ -97,19 +109,22 @@
 
 private:
     struct progress {
-        std::vector<std::string> tried;     ///< Names of targets.
-        std::vector<std::string> attempts;  ///< One line for each attempt.
-        std::uint32_t count = 0;
+        target_search search;
+        std::vector<std::string> attempts{};  ///< One line for each attempt.
+        std::uint32_t sends = 0;            ///< Attempts that reached a target or may have.
+        std::uint32_t allowed_sends = 3;
     };
 
-    awaitable<exchange_result> serve(request_head& head, replayable_body& body, response_writer& writer,
+    awaitable<exchange_result> serve(request_head& head, replayable_body& body, held_answer& answer,
                                      progress& state);
-    awaitable<exchange_result> attempt_all(const request_head& head, replayable_body& body,
-                                           response_writer& writer, progress& state);
+    awaitable<exchange_result> attempt_all(request_head& head, replayable_body& body, held_answer& answer,
+                                           progress& state);
     awaitable<exchange_result> attempt_one(const route_choice& choice, const request_head& head,
-                                           replayable_body& body, response_writer& writer, progress& state);
+                                           replayable_body& body, held_answer& answer, progress& state);
+    awaitable<exchange_result> deliver(held_answer& answer, exchange_result result);
     [[nodiscard]] bool may_try_again(const request_head& head, const exchange_result& result,
-                                     const replayable_body& body, const progress& state) const;
+                                     const replayable_body& body, const held_answer& answer,
+                                     const progress& state) const;
 
     const time_source& clock_;
     const ingress_options options_;
--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -24,6 +24,7 @@
 constexpr std::string_view deadline_reason = "The deadline has passed.";
 constexpr std::string_view late_reason = "The request cannot finish before its deadline.";
 constexpr std::string_view full_reason = "The queue of the target is full.";
+constexpr std::string_view busy_reason = "No slot is free, and the request does not queue.";
 constexpr std::string_view displaced_reason = "The account holds the largest part of a full queue.";
 constexpr std::string_view waited_reason = "No slot became free within the longest wait.";
 
@@ -38,7 +39,8 @@
     queue_.reserve(max_queued_);
 }
 
-offer_result admission_queue::offer(ticket_id ticket, steady_time deadline, std::string_view account) {
+offer_result admission_queue::offer(ticket_id ticket, steady_time deadline, std::string_view account,
+                                    bool may_queue) {
     const std::uint64_t account_hash = stable_hash(account);
     const std::lock_guard lock(mutex_);
     const steady_time now = clock_.now();
@@ -59,6 +61,9 @@
         running_.emplace(ticket, now);
         return {.outcome = offer_outcome::admitted};
     }
+    if (!may_queue) {
+        return refusal(error_kind::overloaded, busy_reason);
+    }
     const steady_time start_by = std::min(now + max_wait_, deadline - safe_service_time());
     std::vector<dropped_ticket> late = take_late(now);
     offer_result result = enqueue({start_by, deadline, account_hash, ticket}, now);
--- a/servers/admission/admission_queue.h
+++ b/servers/admission/admission_queue.h
@@ -75,7 +75,9 @@
     admission_queue(const time_source& clock, const admission_options& options);
 
     /// Asks for a slot. A queued ticket later appears in exactly one admission_change, or is cancelled.
-    offer_result offer(ticket_id ticket, steady_time deadline, std::string_view account);
+    /// A request that may not queue is refused when no slot is free.
+    offer_result offer(ticket_id ticket, steady_time deadline, std::string_view account,
+                       bool may_queue = true);
 
     /// Frees the slot of an admitted ticket whose request has ended.
     admission_change release(ticket_id ticket);
--- a/servers/exchange/exchange.cpp
+++ b/servers/exchange/exchange.cpp
@@ -14,6 +14,16 @@
     return std::nullopt;
 }
 
+bool reached_target(const exchange_result& result) {
+    return result.execution != execution_state::not_run || result.error == error_kind::target_refused ||
+           result.error == error_kind::wrong_target;
+}
+
+bool is_failed_answer(const exchange_result& result) {
+    constexpr unsigned first_server_error = 500;
+    return result.error == error_kind::none && result.answer_status >= first_server_error;
+}
+
 exchange_result failed_exchange(error_kind kind, std::string_view detail) {
     exchange_result result;
     result.error = kind;
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -48,6 +48,13 @@
     steady_time deadline;         ///< On the clock of the process that holds this head.
 
     std::uint64_t fingerprint = 0;  ///< Hash that recognises equal requests; 0 before routing.
+    std::string caller_service;     ///< Service of the instance where the request entered the fleet.
+    std::uint32_t rank = 0;         ///< Priority of the route; 0 goes first.
+    steady_time objective;          ///< An answer after this time is late; the clock's epoch for none.
+    /// No other target is left: the gate takes the request although its target is suspect.
+    bool last_resort = false;
+    /// The gate may queue the request; otherwise it refuses at once when no slot is free.
+    bool may_queue = true;
 
     target_identity target;     ///< The chosen target; empty at the ingress and for keyed requests.
     std::uint32_t detours = 0;  ///< Nodes between the ingress and the gate; at most one.
@@ -78,6 +85,7 @@
     execution_state execution = execution_state::run;
     bool head_written = false;    ///< When true, the answer cannot be replaced by another attempt.
     bool target_crashed = false;  ///< The connection broke after the request was sent.
+    unsigned answer_status = 0;   ///< HTTP status of the target's answer; 0 without one.
     std::string detail;           ///< One sentence for logs and explain.
     std::optional<load_report> load;
     std::optional<std::chrono::milliseconds> retry_after;
@@ -89,6 +97,12 @@
 /// The failure result with the default execution state of its kind.
 exchange_result failed_exchange(error_kind kind, std::string_view detail);
 
+/// True when the request reached a target, also one that refused it, or may have.
+bool reached_target(const exchange_result& result);
+
+/// True when a target answered that it failed.
+bool is_failed_answer(const exchange_result& result);
+
 /// Body of a request, read on demand. Not reading is what holds the sender back.
 class body_reader {
 public:
--- /dev/null
+++ b/servers/exchange/http_dialect.cpp
@@ -0,0 +1,14 @@
+#include "servers/exchange/http_dialect.h"
+
+namespace teaselpitch {
+
+unsigned http_status_of(const http_dialect& dialect, error_kind kind) {
+    for (const auto& [changed, status] : dialect.statuses) {
+        if (changed == kind) {
+            return status;
+        }
+    }
+    return answer_of(kind).http_status;
+}
+
+}  // namespace teaselpitch
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -8,6 +8,9 @@
 
 using std::chrono::milliseconds;
 
+// Contacts that a node greets when it hears of many at once; each passes the news on.
+constexpr std::size_t most_first_contacts = 16;
+
 constexpr std::size_t datagram_bytes = 1400;
 // Version reports fill datagrams only up to here. At 3,200 nodes and 6,500 versions a day they fill every
 // datagram, and 1400 bytes would leave no room below 12 KB/s for bursts of facts.
@@ -235,6 +238,17 @@
     return take_output();
 }
 
+void membership::add_seeds(std::span<const endpoint> seeds) {
+    for (const endpoint& seed : seeds) {
+        if (std::find(seeds_.begin(), seeds_.end(), seed) == seeds_.end()) {
+            seeds_.push_back(seed);
+            fresh_seeds_.push_back(seed);
+        }
+    }
+    std::shuffle(fresh_seeds_.begin(), fresh_seeds_.end(), random_);
+    fresh_seeds_.resize(std::min(fresh_seeds_.size(), most_first_contacts));
+}
+
 membership_output membership::leave() {
     left_ = true;
     self_.state = node_state::left;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -83,6 +83,8 @@
     membership_output on_tick();
     /// Tells everyone that this node stops on purpose.
     membership_output leave();
+    /// Adds nodes that may know others; they are contacted at the next tick.
+    void add_seeds(std::span<const endpoint> seeds);
     void set_draining(bool draining);
     void set_table_version(std::uint64_t version);
     /// Spreads a fact about something other than a node. A target that leaves or is gone and a quarantine are
@@ -158,6 +160,7 @@
     std::mt19937_64 random_;
     member self_;
     std::vector<endpoint> seeds_;
+    std::vector<endpoint> fresh_seeds_;  ///< Not contacted yet.
     membership_options options_;
     membership_hooks hooks_;
     member_table members_;
--- a/servers/membership/membership_probes.cpp
+++ b/servers/membership/membership_probes.cpp
@@ -197,6 +197,11 @@
 
 void membership::contact_seeds() {
     const steady_time now = clock_.now();
+    for (const endpoint& seed : std::exchange(fresh_seeds_, {})) {
+        wire::Datagram greeting = message(wire::Datagram::PING, ++sequence_);
+        *greeting.add_facts()->mutable_node() = to_fact(self_);
+        send(seed, greeting);
+    }
     if (seeds_.empty() || now < next_seed_) {
         return;
     }
--- a/servers/routing/retry_policy.cpp
+++ b/servers/routing/retry_policy.cpp
@@ -37,6 +37,9 @@
     if (by_rule != retry_refusal::none) {
         return {.retry = false, .refusal = by_rule};
     }
+    if (!attempt.reached_target) {
+        return {.retry = true, .refusal = retry_refusal::none};
+    }
     if (budget_locked() < 1.0) {
         return {.retry = false, .refusal = retry_refusal::budget_empty};
     }
--- a/servers/routing/retry_policy.h
+++ b/servers/routing/retry_policy.h
@@ -28,6 +28,8 @@
     std::uint32_t attempts = 1;       ///< Attempts made so far, this one included.
     std::uint64_t body_consumed = 0;  ///< Bytes of the request body that were read from the caller.
     steady_time deadline{};
+    /// False when no target got the request, so that another attempt adds no load.
+    bool reached_target = true;
 };
 
 /// Why a request is not sent again.
--- a/servers/routing/route_index.cpp
+++ b/servers/routing/route_index.cpp
@@ -67,7 +67,11 @@
     return route_match{.service = found->service,
                        .path_prefix = found->path_prefix,
                        .non_idempotent = is_non_idempotent(found->rule, method),
-                       .timeout = found->timeout};
+                       .timeout = found->timeout,
+                       .attempts = found->attempts,
+                       .objective = found->objective,
+                       .priority = found->priority,
+                       .split = found->split};
 }
 
 const route_entry* route_index::find_in(std::string_view host, std::string_view path) const {
--- a/servers/routing/route_index.h
+++ b/servers/routing/route_index.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "servers/routing/name_map.h"
+#include "servers/table/traffic_split.h"
 
 namespace teaselpitch {
 
@@ -27,6 +28,10 @@
     std::string service;
     idempotency_rule rule = idempotency_rule::automatic;
     std::chrono::milliseconds timeout{0};
+    std::uint32_t attempts = 3;              ///< Targets that one request may be sent to.
+    std::chrono::milliseconds objective{0};  ///< 0 without an objective of its own.
+    std::uint32_t priority = 0;              ///< Requests with a lower number go first.
+    std::vector<split_part> split{};         ///< Empty when all requests go to `service`.
 };
 
 /// The route of one request. The views refer to the index and live as long as it does.
@@ -35,6 +40,10 @@
     std::string_view path_prefix;
     bool non_idempotent = false;
     std::chrono::milliseconds timeout{0};
+    std::uint32_t attempts = 3;
+    std::chrono::milliseconds objective{0};
+    std::uint32_t priority = 0;
+    std::span<const split_part> split{};
 };
 
 /// Says whether the rule makes a request with this method non-idempotent.
--- a/servers/table/table_validation.cpp
+++ b/servers/table/table_validation.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "servers/table/columns.h"
+#include "servers/table/traffic_split.h"
 
 namespace teaselpitch {
 namespace {
@@ -36,6 +37,19 @@
 
 void check(const table& value, const route_row& row, issue_list& issues) {
     check_service_reference(value, row, issues);
+    if (row.split.empty()) {
+        return;
+    }
+    const auto parts = parse_split(row.split);
+    if (!parts) {
+        add(issues, row, "split", "is not SERVICE:WEIGHT|... with different services and a weight above 0");
+        return;
+    }
+    for (const split_part& part : *parts) {
+        if (!value.has_service(part.service)) {
+            add(issues, row, "split", "service \"" + part.service + "\" has no row");
+        }
+    }
 }
 
 void check(const table& value, const account_row& row, issue_list& issues) {
--- a/tests/platform/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/node_settings.h"
+#include "drivers/settings/node_settings.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
