--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -18,6 +18,8 @@
 struct neighbour_settings {
     std::string service;
     endpoint address;
+
+    bool operator==(const neighbour_settings&) const = default;
 };
 
 /// The platform's store as the source of the configuration and of the first contacts.
@@ -26,6 +28,8 @@
     endpoint readiness_listen;  ///< Where the platform asks whether this node takes callers.
     std::chrono::milliseconds heartbeat{};         ///< Interval at which targets announce themselves.
     std::chrono::milliseconds drain_limit{};       ///< Time from SIGTERM until the platform kills the process.
+
+    bool operator==(const store_settings&) const = default;
 };
 
 /// The settings of teaselpitch-node. docs/operating.md describes each key.
--- /dev/null
+++ b/drivers/settings/settings_file.cpp
@@ -0,0 +1,52 @@
+#include "drivers/settings/settings_file.h"
+
+#include <system_error>
+#include <utility>
+
+namespace teaselpitch {
+
+settings_file::settings_file(std::string path) : path_(std::move(path)) {}
+
+settings_result settings_file::load() {
+    seen_ = examine();
+    return load_node_settings(path_);
+}
+
+bool settings_file::changed() const {
+    const std::optional<file_state> now = examine();
+    return now.has_value() && now != seen_;
+}
+
+std::optional<settings_file::file_state> settings_file::examine() const {
+    std::error_code error;
+    file_state state;
+    state.written = std::filesystem::last_write_time(path_, error);
+    if (!error) {
+        state.size = std::filesystem::file_size(path_, error);
+    }
+    return error ? std::nullopt : std::optional(state);
+}
+
+std::vector<std::string> changed_keys(const node_settings& before, const node_settings& after) {
+    std::vector<std::string> keys;
+    const auto compare = [&keys](bool equal, const char* key) {
+        if (!equal) {
+            keys.emplace_back(key);
+        }
+    };
+    compare(before.name == after.name, "node.name");
+    compare(before.availability_zone == after.availability_zone, "node.availability_zone");
+    compare(before.threads == after.threads, "node.threads");
+    compare(before.caller_listen == after.caller_listen, "listen.caller");
+    compare(before.admin_listen == after.admin_listen, "listen.admin");
+    compare(before.peer_listen == after.peer_listen, "listen.peer");
+    compare(before.log_address == after.log_address, "log.address");
+    compare(before.seeds == after.seeds, "seeds");
+    compare(before.drain_timeout == after.drain_timeout, "times.drain_timeout_ms");
+    compare(before.store == after.store, "store");
+    compare(before.beside == after.beside, "beside");
+    compare(before.log_level == after.log_level, "log_level");
+    return keys;
+}
+
+}  // namespace teaselpitch
--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -21,7 +21,8 @@
 };
 
 int run_node(const arguments& given) {
-    const settings_result loaded = load_node_settings(given.settings_path);
+    settings_file file(given.settings_path);
+    const settings_result loaded = file.load();
     for (const settings_fault& fault : loaded.faults) {
         log_event(event_level::error, "invalid_settings",
                   {{"file", given.settings_path}, {"key", fault.key_path}, {"reason", fault.reason}});
@@ -39,7 +40,7 @@
     const system_time_source clock;
     const auto started =
         std::chrono::duration_cast<std::chrono::microseconds>(clock.wall_now().time_since_epoch());
-    node self(loaded.settings, loaded.settings.store ? platform::make_node_platform() : node_platform{}, clock, static_cast<std::uint64_t>(started.count()));
+    node self(loaded.settings, file, loaded.settings.store ? platform::make_node_platform() : node_platform{}, clock, static_cast<std::uint64_t>(started.count()));
     const absl::Status ended = self.run();
     if (!ended.ok()) {
         log_event(event_level::error, "node_failed", {{"reason", std::string(ended.message())}});
--- a/main/standin_target/standin_target.cpp
+++ b/main/standin_target/standin_target.cpp
@@ -76,7 +76,7 @@
     auto next = std::make_unique<generation>(*this);
     caller_server_options server;
     server.listen = address_;
-    server.idle_timeout = std::chrono::minutes(10);
+    server.limits.idle_timeout = std::chrono::minutes(10);
     next->server =
         std::make_unique<caller_server>(executor_, server, next->work, clock, [] { return std::string(); });
     const absl::StatusOr<endpoint> bound = next->server->start();
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -14,9 +14,10 @@
 
 namespace teaselpitch {
 
-node::node(const node_settings& settings, node_platform platform, const time_source& clock,
-           std::uint64_t incarnation)
+node::node(const node_settings& settings, settings_file& file, node_platform platform,
+           const time_source& clock, std::uint64_t incarnation)
     : settings_(settings),
+      file_(file),
       platform_(std::move(platform)),
       context_(settings_, platform_.dialect, clock, {settings_.name, incarnation},
                [this](std::function<void()> work) { boost::asio::post(control_, std::move(work)); }),
@@ -60,13 +61,8 @@
             return started.status();
         }
     }
-    boost::asio::signal_set signals(control_, SIGTERM, SIGINT);
-    signals.async_wait([this](const boost::system::error_code& error, int signal) {
-        if (!error) {
-            log_event(event_level::info, "signal", {{"number", signal}});
-            request_drain();
-        }
-    });
+    boost::asio::co_spawn(control_, watch_signals(), boost::asio::detached);
+    boost::asio::co_spawn(control_, watch_settings(), boost::asio::detached);
     log_event(event_level::info, "node_started",
               {{"node", context_.self.name},
                {"incarnation", context_.self.incarnation},
@@ -103,6 +99,51 @@
     return absl::OkStatus();
 }
 
+awaitable<void> node::watch_signals() {
+    boost::asio::signal_set signals(control_, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
+        log_event(event_level::info, "signal", {{"number", signal}});
+        if (signal == SIGHUP) {
+            reload_settings("signal");
+        } else {
+            request_drain();
+        }
+    }
+}
+
+awaitable<void> node::watch_settings() {
+    constexpr std::chrono::seconds interval{1};
+    boost::asio::steady_timer timer(control_);
+    while (true) {
+        timer.expires_after(interval);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        if (file_.changed()) {
+            reload_settings("file changed");
+        }
+    }
+}
+
+void node::reload_settings(std::string_view reason) {
+    const settings_result loaded = file_.load();
+    for (const settings_fault& fault : loaded.faults) {
+        log_event(event_level::error, "invalid_settings",
+                  {{"file", file_.path()}, {"key", fault.key_path}, {"reason", fault.reason}});
+    }
+    if (!loaded.faults.empty()) {
+        log_event(event_level::error, "reload_refused", {{"file", file_.path()}, {"faults", loaded.faults.size()}});
+        return;
+    }
+    // Everything but the level belongs to sockets and state that exist; it takes effect at the next start.
+    set_event_level(loaded.settings.log_level);
+    std::string waiting;
+    for (const std::string& key : changed_keys(settings_, loaded.settings)) {
+        waiting += key == "log_level" ? "" : (waiting.empty() ? "" : ",") + key;
+    }
+    log_event(event_level::info, "settings_reloaded",
+              {{"file", file_.path()}, {"reason", reason}, {"at_next_start", waiting}});
+}
+
 void node::request_drain() {
     if (drain_requested_) {
         return;
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -9,6 +9,7 @@
 #include "modules/node/admin_api.h"
 #include "modules/node/control_plane.h"
 #include "modules/node/node_context.h"
+#include "drivers/settings/settings_file.h"
 #include "modules/node/node_shard.h"
 #include "drivers/threads/shard_group.h"
 
@@ -17,18 +18,22 @@
 /// One node: the control thread's tasks and the shards. run() blocks until the node has drained.
 class node {
 public:
-    node(const node_settings& settings, node_platform platform, const time_source& clock,
+    node(const node_settings& settings, settings_file& file, node_platform platform, const time_source& clock,
          std::uint64_t incarnation);
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node();
 
-    /// Starts the listeners and runs until SIGTERM, SIGINT or a drain request has been carried out.
+    /// Starts the listeners and runs until SIGTERM, SIGINT or a drain request has been carried out. SIGHUP or a
+    /// changed file reloads the settings.
     absl::Status run();
 
 private:
     absl::Status start_shards();
     void request_drain();
+    awaitable<void> watch_signals();
+    awaitable<void> watch_settings();
+    void reload_settings(std::string_view reason);
     awaitable<void> drain();
     awaitable<void> drain_shard(std::size_t index);
     void set_caller_limits(const caller_limits& limits);
@@ -36,6 +41,7 @@
     [[nodiscard]] choice_or_refusal<route_choice> choose_holder(const request_head& head) const;
 
     const node_settings settings_;
+    settings_file& file_;
     const node_platform platform_;
     boost::asio::io_context control_{1};
     node_context context_;
--- a/tests/drivers/http/caller_exchange_test.cpp
+++ b/tests/drivers/http/caller_exchange_test.cpp
@@ -261,8 +261,8 @@
 // Guards against connections that stay for ever without a request.
 BOOST_AUTO_TEST_CASE(slow_and_idle_callers_are_closed) {
     caller_server_options options;
-    options.header_timeout = std::chrono::milliseconds(30);
-    options.idle_timeout = std::chrono::milliseconds(30);
+    options.limits.header_timeout = std::chrono::milliseconds(30);
+    options.limits.idle_timeout = std::chrono::milliseconds(30);
     options.body_timeout = std::chrono::milliseconds(30);
     server_fixture fixture(echo, options);
     run_on(fixture.context, [&]() -> awaitable<void> {
