Share the budget of repeats over all nodes

Cause: with oficina refusing 55 in 100 requests, 192 calls and 53 requests ended at the first refusal, because a node's own budget (0.1 of its successes and 0.1/s) was empty, while the fleet used 148 of about 800 allowed repeats. Ruled out: the limit of attempts alone (it counted refusals as runs; that is corrected too). Change: the share is of requests taken in, and the fixed part belongs to the fleet and is divided by the known nodes.

--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -76,6 +76,15 @@
         static_cast<std::size_t>(routing.integer_or("held_answer_bytes", 64 * 1024, {0, max_kept_bytes}));
     out.free_slot_hops = static_cast<std::uint32_t>(routing.integer_or("free_slot_hops", 2, {0, 16}));
     out.retry_floor_per_s = routing.number_or("retry_floor_per_s", 1.0, 0.0, 1'000.0);
+    if (routing.has("fleet_retries")) {
+        settings_section shared = routing.section("fleet_retries");
+        fleet_retry_settings values;
+        values.ratio = shared.number_or("ratio", 0.0, 0.0, 1.0);
+        values.slack = shared.number_or("slack", 0.0, 0.0, 1'000'000.0);
+        values.window = std::chrono::seconds(shared.integer_or("window_s", 10, {1, 3'600}));
+        shared.refuse_unknown_keys();
+        out.fleet_retries = values;
+    }
     out.target_idle = routing.milliseconds_or("target_idle_ms", 30s, long_time_ms);
     out.non_idempotent_idle = routing.milliseconds_or("non_idempotent_idle_ms", 30s, long_time_ms);
     out.ping_deadline = routing.milliseconds_or("ping_deadline_ms", 300ms, short_time_ms);
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -14,6 +14,13 @@
 
 namespace teaselpitch {
 
+/// In each window the nodes may repeat `ratio` of a service's requests and `slack` more.
+struct fleet_retry_settings {
+    double ratio = 0;
+    double slack = 0;
+    std::chrono::seconds window{10};
+};
+
 /// The one target beside a node whose instance is known to have one.
 struct neighbour_settings {
     std::string service;
@@ -68,6 +75,8 @@
     std::size_t held_answer_bytes = 0;  ///< Longest answer that the ingress holds until it is whole.
     std::uint32_t free_slot_hops = 0;   ///< Gates that are asked for a free slot before a request queues.
     double retry_floor_per_s = 0;       ///< Retries of a service that this node may send without any success.
+    /// What all nodes together may repeat; empty when each node has a budget of its own.
+    std::optional<fleet_retry_settings> fleet_retries;
     std::chrono::milliseconds target_idle{};          ///< Idle connections to targets are closed after this time.
     std::chrono::milliseconds non_idempotent_idle{};  ///< The same for reuse by requests that may run only once.
     std::chrono::milliseconds ping_deadline{};        ///< A peer connection without an answer for longer is replaced.
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -301,6 +301,9 @@
     // Nodes that left on purpose do not count as cut off.
     context_.accounts.on_nodes(std::move(names), fleet_.possible_node_count());
     context_.metrics.set_known(directory.size(), fleet_.target_count());
+    for (const auto& [service, router] : *context_.services.all()) {
+        router->retries().set_nodes(directory.size());
+    }
     context_.nodes.update(std::make_shared<const node_directory>(std::move(directory)));
 }
 
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -7,6 +7,19 @@
 
 constexpr std::size_t records_per_subject = 4'096;
 
+retry_options retry_options_of(const node_settings& settings) {
+    retry_options options;
+    options.floor_per_s = settings.retry_floor_per_s;
+    if (settings.fleet_retries) {
+        const fleet_retry_settings& shared = *settings.fleet_retries;
+        // The nodes' views of their number differ for a while after each change of it.
+        constexpr double used_part = 0.7;
+        options.fleet_floor_per_s = used_part * shared.slack / std::chrono::duration<double>(shared.window).count();
+        options.counts_requests = true;
+    }
+    return options;
+}
+
 /// Announcements may arrive seconds late, so a target is gone only after several have been missed.
 std::chrono::milliseconds renewal_limit_of(const node_settings& settings) {
     constexpr int missed_heartbeats = 4;
@@ -30,7 +43,7 @@
           std::make_shared<const routing_table>(std::make_shared<const table>(), settings.availability_zone)),
       nodes(std::make_shared<const node_directory>()),
       services(clock, {.own_zone = settings.availability_zone, .warm_up = settings.warm_up},
-               {.floor_per_s = settings.retry_floor_per_s}, decisions,
+               retry_options_of(settings), decisions,
                [this](const std::string& service) {
                    post_control([this, service] { services.router(service).refresh(); });
                }),
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -64,6 +64,9 @@
 }
 
 refusal request_router::admit(const request_head& head) const {
+    if (const auto router = context_.services.find(head.service)) {
+        router->retries().on_request();
+    }
     if (context_.targets.quarantine().is_quarantined(head.fingerprint)) {
         return {error_kind::quarantined, "equal requests crashed several targets", std::nullopt};
     }
@@ -159,9 +162,38 @@
     context_.outcomes.add(
         head.service, context_.settings.availability_zone,
         classify_outcome(report.result.error, report.http_status, report.latency, objective));
+    log_request(report);
     record_request(report);
 }
 
+// Each failed request leaves a line; of the others every 64th does, so that the volume stays bounded under load.
+void request_router::log_request(const ingress_report& report) {
+    constexpr std::uint64_t sampled = 64;
+    constexpr unsigned first_server_error = 500;
+    const bool failed = report.result.error != error_kind::none || report.http_status >= first_server_error;
+    if (!failed && stable_hash(report.head.request_id) % sampled != 0) {
+        return;
+    }
+    std::string attempts;
+    for (const std::string& attempt : report.attempts) {
+        attempts += (attempts.empty() ? "" : "; ") + attempt;
+    }
+    const auto left = report.head.deadline - context_.clock.now();
+    log_event(event_level::info, "request",
+              {{"request_id", report.head.request_id},
+               {"service", report.head.service},
+               {"rank", report.head.rank},
+               {"non_idempotent", report.head.non_idempotent},
+               {"outcome", answer_of(report.result.error).name},
+               {"status", report.http_status},
+               {"execution", to_string(report.result.execution)},
+               {"latency_ms", milliseconds(report.latency)},
+               {"left_ms", milliseconds(left)},
+               {"table_version", context_.routing.read()->rows().version()},
+               {"detail", report.result.detail},
+               {"attempts", attempts}});
+}
+
 void request_router::record_request(const ingress_report& report) {
     decision_record record;
     record.subject = decision_subject::request;
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -26,6 +26,7 @@
 
 private:
     void judge_path(const attempt_report& report, service_router& router);
+    void log_request(const ingress_report& report);
     void record_request(const ingress_report& report);
 
     node_context& context_;
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -354,6 +354,21 @@
 
 void target_keeper::judge_end(kept_target& target, const gate_run_end& end) {
     const work_outcome outcome = outcome_of(end.result, end.http_status);
+    if (outcome != work_outcome::success) {
+        const admission_load load = target.guarded().load();
+        log_event(event_level::info, "target_failure",
+                  {{"request_id", end.run.head.request_id},
+                   {"target", target.guarded().identity().name},
+                   {"service", target.guarded().service()},
+                   {"rank", end.run.head.rank},
+                   {"error", answer_of(end.result.error).name},
+                   {"status", end.http_status},
+                   {"latency_ms", std::chrono::duration<double, std::milli>(end.head_latency).count()},
+                   {"sick_probability", target.failures().probability()},
+                   {"last_resort", end.run.head.last_resort},
+                   {"running", load.running},
+                   {"queued", load.queued}});
+    }
     if (outcome == work_outcome::success) {
         target.failures().on_success();
     } else if (outcome != work_outcome::cancelled) {
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -13,6 +13,9 @@
     std::string line = "target=" + (choice.target.name.empty() ? "(holder)" : choice.target.name);
     line += " node=" + choice.node + " chosen_by=" + choice.reason;
     line += " error=" + std::string(answer_of(result.error).name);
+    if (result.answer_status != 0) {
+        line += " status=" + std::to_string(result.answer_status);
+    }
     line += " execution=" + std::string(to_string(result.execution));
     if (!result.detail.empty()) {
         line += " detail=" + result.detail;
@@ -153,7 +156,7 @@
     result.answer_status = answer.status();
     // An answer that is still held can be replaced.
     result.head_written = result.head_written && !answer.nothing_sent();
-    state.sends += reached_target(result) ? 1 : 0;
+    state.sends += result.execution == execution_state::not_run ? 0 : 1;
     state.search.on_attempt(choice.target.name, result);
     state.attempts.push_back(describe_attempt(choice, result));
     hooks_.attempt_ended({attempt, choice, result, static_cast<std::uint32_t>(state.attempts.size()),
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -111,7 +111,7 @@
     struct progress {
         target_search search;
         std::vector<std::string> attempts{};  ///< One line for each attempt.
-        std::uint32_t sends = 0;            ///< Attempts that reached a target or may have.
+        std::uint32_t sends = 0;            ///< Attempts that ran at a target or may have.
         std::uint32_t allowed_sends = 3;
     };
 
