Order a gate's queue by rank and objective, and watch callers that close after their answer

Cause 3: episodes in which a target fails most of its work last 3 to 8 s; the filter expected 1.5 s and sent requests that run only once as trials. Ruled out: the retry budget and the hop limit alone.

--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -109,10 +109,22 @@
             open = co_await serve(header_size);
         }
     }
-    co_await wait_answered();
+    co_await finish_overlapped();
     co_await close_gracefully();
 }
 
+// Nothing more is read from the connection, but the caller can still leave before its answers are out.
+awaitable<void> caller_connection::finish_overlapped() {
+    using namespace net::experimental::awaitable_operators;
+    if (!overlapped_.empty() && !closing_) {
+        const auto first = co_await (wait_answered() || watch_caller());
+        if (first.index() == 1) {
+            cancel_overlapped();
+        }
+    }
+    co_await wait_answered();
+}
+
 std::string_view caller_connection::buffered() const {
     return {static_cast<const char*>(buffer_.cdata().data()), buffer_.size()};
 }
@@ -310,6 +322,10 @@
 awaitable<void> caller_connection::wait_answered() {
     while (!overlapped_.empty()) {
         co_await overlapped_changed_.async_wait(tuple_awaitable);
+        const net::cancellation_state state = co_await net::this_coro::cancellation_state;
+        if (state.cancelled() != net::cancellation_type::none) {
+            co_return;
+        }
     }
 }
 
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -90,6 +90,7 @@
     void stop_reading();
     awaitable<void> wait_turn(std::uint64_t turn);
     awaitable<void> wait_answered();
+    awaitable<void> finish_overlapped();
 
     awaitable<bool> run_request(parser& parser, const request_head& head);
     awaitable<exchange_result> run_exchange(const request_head& head, caller_body& body,
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -92,6 +92,7 @@
         // 0 stands for no objective, so a passed one is sent as the least time.
         message.set_objective_us(static_cast<std::uint64_t>(std::max<std::int64_t>(left.count(), 1)));
     }
+    message.set_work_class(head.work_class);
     message.set_last_resort(head.last_resort);
     message.set_no_queue(!head.may_queue);
     return to_field(message);
@@ -131,6 +132,7 @@
         const auto left = std::min(message->objective_us(), static_cast<std::uint64_t>(longest.count()));
         head.objective = now + std::chrono::microseconds(left);
     }
+    head.work_class = message->work_class();
     head.last_resort = message->last_resort();
     head.may_queue = !message->no_queue();
     return head;
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -60,6 +60,7 @@
     decision.attempts = match->attempts;
     decision.objective = match->objective;
     decision.rank = match->priority;
+    decision.work_class = stable_hash(match->path_prefix, stable_hash(head.host));
     return decision;
 }
 
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -372,7 +372,9 @@
     if (outcome == work_outcome::success) {
         target.failures().on_success();
     } else if (outcome != work_outcome::cancelled) {
-        target.failures().on_failure();
+        // A target that fails a request at once cannot blame a call that it made for it.
+        const auto usual = target.guarded().load().mean_service_time;
+        target.failures().on_failure(end.head_latency < usual / 4);
     }
     target.judge().on_end(end.run.ticket, outcome, end.head_latency,
                           end.run.head.fingerprint);
--- a/modules/proxy/gate.cpp
+++ b/modules/proxy/gate.cpp
@@ -68,7 +68,12 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     // The place is taken before the offer, because another shard may admit the ticket at once.
     waiter_table<admission_event>::registration place(target->waiters(), ticket, executor);
-    const offer_result offered = target->offer(ticket, head.deadline, head.account, head.may_queue);
+    const offer_result offered = target->offer(ticket, {.deadline = head.deadline,
+                                                        .objective = head.objective,
+                                                        .rank = head.rank,
+                                                        .work_class = head.work_class,
+                                                        .account = head.account,
+                                                        .may_queue = head.may_queue});
     if (offered.outcome == offer_outcome::refused) {
         co_return refuse(head, target.get(), offered.error, offered.reason, offered.retry_after);
     }
--- a/modules/proxy/guarded_target.cpp
+++ b/modules/proxy/guarded_target.cpp
@@ -11,9 +11,8 @@
       address_(std::move(address)),
       queue_(clock, options) {}
 
-offer_result guarded_target::offer(ticket_id ticket, steady_time deadline, std::string_view account,
-                                   bool may_queue) {
-    offer_result result = queue_.offer(ticket, deadline, account, may_queue);
+offer_result guarded_target::offer(ticket_id ticket, const admission_request& request) {
+    offer_result result = queue_.offer(ticket, request);
     for (const dropped_ticket& dropped : result.dropped) {
         waiters_.notify(dropped.ticket, dropped);
     }
--- a/modules/proxy/guarded_target.h
+++ b/modules/proxy/guarded_target.h
@@ -23,7 +23,7 @@
 
     // Commands.
     /// Offers a request and tells the requests that made room for it.
-    offer_result offer(ticket_id ticket, steady_time deadline, std::string_view account, bool may_queue = true);
+    offer_result offer(ticket_id ticket, const admission_request& request);
     /// Frees the slot of a finished request and tells the next ones.
     void release(ticket_id ticket);
     /// Withdraws a request that was cancelled, in whatever state it is.
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -93,6 +93,7 @@
     head.service = route->service;
     head.non_idempotent = route->non_idempotent;
     head.rank = route->rank;
+    head.work_class = route->work_class;
     const steady_time arrival = clock_.now();
     const auto timeout = route->timeout.count() > 0 ? route->timeout : options_.default_timeout;
     head.deadline = std::min(head.deadline, arrival + timeout);
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -37,6 +37,7 @@
     std::uint32_t attempts = 3;              ///< Targets that the request may be sent to.
     std::chrono::milliseconds objective{0};  ///< Latency above which the answer is late; 0 for none.
     std::uint32_t rank = 0;                  ///< Requests with a lower rank go first.
+    std::uint64_t work_class = 0;            ///< Hash of the route.
 };
 
 /// A failed choice or admission.
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -50,6 +50,7 @@
     std::uint64_t fingerprint = 0;  ///< Hash that recognises equal requests; 0 before routing.
     std::string caller_service;     ///< Service of the instance where the request entered the fleet.
     std::uint32_t rank = 0;         ///< Priority of the route; 0 goes first.
+    std::uint64_t work_class = 0;   ///< Hash of the route: its requests take about the same time.
     steady_time objective;          ///< An answer after this time is late; the clock's epoch for none.
     /// No other target is left: the gate takes the request although its target is suspect.
     bool last_resort = false;
--- a/servers/health/failure_filter.h
+++ b/servers/health/failure_filter.h
@@ -8,14 +8,16 @@
 namespace teaselpitch {
 
 struct failure_filter_options {
-    double healthy_failure_rate = 0.02;  ///< Scattered errors of a healthy target.
-    double sick_failure_rate = 0.6;      ///< A gray target fails at least about half of its work.
-    std::chrono::milliseconds time_between_episodes{30'000};
-    std::chrono::milliseconds episode{1'500};          ///< Expected length of the first episode.
-    std::chrono::milliseconds longest_episode{6'000};  ///< Bound of its growth with each relapse.
-    double suspect_from = 0.33;  ///< Probability of an episode from which work that runs only once goes elsewhere.
-    double trial_from = 0.75;    ///< Probability from which even work that may repeat is limited to trials.
-    std::chrono::milliseconds trial_interval{300};  ///< Between trials of a target that is surely sick.
+    double healthy_failure_rate = 0.02;       ///< Scattered errors of a healthy target.
+    double healthy_slow_failure_rate = 0.10;  ///< Errors after a usual time of work; often those of a call it made.
+    double sick_failure_rate = 0.7;           ///< A gray target fails most of its work.
+    std::chrono::milliseconds healthy{15'000};  ///< Expected time between two episodes.
+    std::chrono::milliseconds episode{4'000};   ///< Expected length of an episode.
+    /// Probability of an episode from which work that may run only once goes elsewhere.
+    double suspect_from = 0.4;
+    /// Probability from which work that may repeat is limited to trials.
+    double trial_from = 0.55;
+    std::chrono::milliseconds trial_interval{400};  ///< Between trials.
 };
 
 /// Recognises short episodes in which a target fails much of its work while its health check is good.
@@ -31,7 +33,8 @@
 
     // Commands.
     void on_success();
-    void on_failure();
+    /// `quick` failures came before the target can have done the work.
+    void on_failure(bool quick);
     /// Asks for a place for one request; a request that is taken may be the trial of a sick target.
     bool try_take(bool non_idempotent);
 
@@ -48,10 +51,8 @@
     const failure_filter_options options_;
     mutable std::mutex mutex_;
     double probability_;
-    std::chrono::duration<double> episode_;
     steady_time updated_at_;
     steady_time last_trial_;
-    bool failed_last_ = false;
 };
 
 }  // namespace teaselpitch
