Let ingresses leave out targets that their gates suspect

Change: the load report says that the target is suspect, the chooser leaves it out for 0.7 s while another is left, and the ingress tells the gate when none is. Ruled out: more hops, which cost bytes and time and tell nothing.

--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -53,12 +53,18 @@
     message.set_running(load.running);
     message.set_queued(load.queued);
     message.set_badness(load.badness);
+    message.set_suspect(load.suspect);
     message.set_leaving(load.leaving);
 }
 
 load_report take_load(const wire::LoadReport& message) {
-    return {message.target(), message.slots(),   message.running(),
-            message.queued(), message.badness(), message.leaving()};
+    return {.target = message.target(),
+            .slots = message.slots(),
+            .running = message.running(),
+            .queued = message.queued(),
+            .badness = message.badness(),
+            .leaving = message.leaving(),
+            .suspect = message.suspect()};
 }
 
 }  // namespace
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -98,6 +98,7 @@
     route.node = chosen.target->node();
     route.local = route.node == context_.self.name;
     route.reason = "least_loaded_of_two";
+    route.suspect = chosen.suspect;
     route.hold = std::make_shared<chosen_target>(std::move(*chosen.target));
     const auto nodes = context_.nodes.read();
     const auto address = nodes->find(route.node);
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -306,7 +306,11 @@
 
 bool target_keeper::is_suspect(const request_head& head, const guarded_target& target) {
     const auto kept = find(target.identity().name);
-    return kept && !kept->failures().try_take(head.non_idempotent);
+    if (!kept) {
+        return false;
+    }
+    kept->guarded().set_suspect(kept->failures().suspect());
+    return !kept->failures().try_take(head.non_idempotent);
 }
 
 void target_keeper::on_run_started(const gate_run& run) {
@@ -376,6 +380,7 @@
         const auto usual = target.guarded().load().mean_service_time;
         target.failures().on_failure(end.head_latency < usual / 4);
     }
+    target.guarded().set_suspect(target.failures().suspect());
     target.judge().on_end(end.run.ticket, outcome, end.head_latency,
                           end.run.head.fingerprint);
     target.guarded().set_badness(target.judge().badness());
--- a/modules/proxy/gate.cpp
+++ b/modules/proxy/gate.cpp
@@ -108,8 +108,9 @@
         throw;
     }
     const steady_time answered = observer.head_time().value_or(clock_.now());
-    result.load = started.target.report();
     hooks_.run_ended({started, result, observer.status(), answered - begin});
+    // The report says what the end of this run taught about the target.
+    result.load = started.target.report();
     co_return result;
 }
 
--- a/modules/proxy/guarded_target.cpp
+++ b/modules/proxy/guarded_target.cpp
@@ -50,7 +50,8 @@
             .running = load.running,
             .queued = load.queued,
             .badness = badness_.load(std::memory_order_relaxed),
-            .leaving = load.state != admission_state::open};
+            .leaving = load.state != admission_state::open,
+            .suspect = suspect_.load(std::memory_order_relaxed)};
 }
 
 void guarded_target::tell(const admission_change& change) {
--- a/modules/proxy/guarded_target.h
+++ b/modules/proxy/guarded_target.h
@@ -36,6 +36,8 @@
     void set_leaving();
     /// The gate's verdict, set by the target's judge.
     void set_badness(double badness) { badness_.store(badness, std::memory_order_relaxed); }
+    /// Whether the target failed its latest work.
+    void set_suspect(bool suspect) { suspect_.store(suspect, std::memory_order_relaxed); }
     waiter_table<admission_event>& waiters() { return waiters_; }
 
     // Queries.
@@ -54,6 +56,7 @@
     admission_queue queue_;
     waiter_table<admission_event> waiters_;
     std::atomic<double> badness_{0};
+    std::atomic<bool> suspect_{false};
 };
 
 }  // namespace teaselpitch
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -152,6 +152,7 @@
                                                 progress& state) {
     request_head attempt = head;
     attempt.target = choice.target;
+    attempt.last_resort = attempt.last_resort || choice.suspect;
     const steady_time start = clock_.now();
     exchange_result result = co_await hooks_.dispatch(choice, attempt, body, answer);
     result.answer_status = answer.status();
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -27,6 +27,7 @@
     endpoint peer;                     ///< Peer listener of the node.
     std::string reason;                ///< Which rule chose it, for explain.
     std::shared_ptr<const void> hold;  ///< Keeps the request counted at the target until the attempt ends.
+    bool suspect = false;  ///< No better target is left, so that the gate should not refuse the request for that.
 };
 
 /// What routing says about a request.
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -78,6 +78,7 @@
     std::uint32_t queued = 0;   ///< Requests in the gate's queue.
     double badness = 0;         ///< The gate's verdict: 0 is healthy, 1 or more asks for ejection.
     bool leaving = false;
+    bool suspect = false;  ///< The target failed its latest work; other targets go first for a moment.
 };
 
 /// How an exchange ended.
--- a/servers/health/failure_filter.h
+++ b/servers/health/failure_filter.h
@@ -41,6 +41,8 @@
     // Queries.
     /// Probability that the target is in an episode now.
     [[nodiscard]] double probability() const;
+    /// True when work that may run only once should go elsewhere.
+    [[nodiscard]] bool suspect() const { return probability() >= options_.suspect_from; }
 
 private:
     [[nodiscard]] double probability_at(steady_time now) const;
--- a/servers/routing/target_chooser.cpp
+++ b/servers/routing/target_chooser.cpp
@@ -73,6 +73,7 @@
     absl::InlinedVector<double, usual_zones> zone_capacity{};
     double full_weight = 0;
     double partial_weight = 0;
+    bool only_suspects = false;
 };
 
 target_chooser::target_chooser(const time_source& clock, chooser_options options, std::uint64_t seed)
@@ -127,12 +128,15 @@
     if (report.leaving) {
         load.leaving.store(true, std::memory_order_relaxed);
     }
+    load.suspect_until_ns.store(report.suspect ? to_ns(clock_.now() + options_.suspicion) : 0,
+                                std::memory_order_relaxed);
 }
 
 choice target_chooser::choose(std::span<const std::string> excluded) {
     const std::shared_ptr<const view> current = view_.read();
     draw state{.current = *current, .now = clock_.now()};
     weigh(state, excluded);
+    leave_out_suspects(state);
     if (state.full_weight + state.partial_weight <= 0) {
         return {.target = std::nullopt, .error = error_kind::no_target};
     }
@@ -143,7 +147,8 @@
     const view_target& chosen = current->targets[*index];
     return {
         .target = chosen_target(chosen.target.identity, chosen.target.node, chosen.target.zone, chosen.load),
-        .error = error_kind::none};
+        .error = error_kind::none,
+        .suspect = state.only_suspects};
 }
 
 std::optional<double> target_chooser::load_of(std::string_view target) const {
@@ -210,6 +215,29 @@
     }
 }
 
+bool target_chooser::suspect_at(const view_target& target, steady_time now) const {
+    return target.load->suspect_until_ns.load(std::memory_order_relaxed) > to_ns(now);
+}
+
+// Suspect targets keep their weights only when no other target has one.
+void target_chooser::leave_out_suspects(draw& state) const {
+    const std::vector<view_target>& targets = state.current.targets;
+    double good = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        good += suspect_at(targets[i], state.now) ? 0.0 : state.weights[i];
+    }
+    if (good <= 0) {
+        state.only_suspects = true;
+        return;
+    }
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (suspect_at(targets[i], state.now)) {
+            (state.partial[i] ? state.partial_weight : state.full_weight) -= state.weights[i];
+            state.weights[i] = 0;
+        }
+    }
+}
+
 std::optional<std::size_t> target_chooser::draw_target(draw& state) {
     double position = next_random() * (state.full_weight + state.partial_weight);
     if (position < state.partial_weight) {
--- a/servers/routing/target_chooser.h
+++ b/servers/routing/target_chooser.h
@@ -26,6 +26,8 @@
     std::chrono::milliseconds warm_up{10'000};
     /// Age at which a load report has lost its effect.
     std::chrono::milliseconds report_lifetime{2'000};
+    /// Time for which a target that its gate suspects is chosen only when no other is left.
+    std::chrono::milliseconds suspicion{700};
 };
 
 /// A target as the chooser sees it: registry, table row of its zone and ejector together.
@@ -53,6 +55,7 @@
     std::atomic<std::int32_t> others{0};          ///< Requests of other nodes by the last report.
     std::atomic<std::int64_t> reported_at_ns{0};  ///< Monotonic time of the report; 0 for none.
     std::atomic<bool> leaving{false};
+    std::atomic<std::int64_t> suspect_until_ns{0};  ///< Monotonic time; 0 when the last report was good.
 };
 
 /// A chosen target. The request counts as outstanding until this object is destroyed.
@@ -83,6 +86,7 @@
 struct choice {
     std::optional<chosen_target> target;
     error_kind error = error_kind::none;
+    bool suspect = false;  ///< Every target that is left is suspect.
 };
 
 /// Chooses the target of each attempt for one service on one node.
@@ -128,7 +132,9 @@
                                      std::span<const zone_limit> limits) const;
     [[nodiscard]] double load_at(const view_target& target, steady_time now) const;
     [[nodiscard]] double share_at(const view_target& target, steady_time now) const;
+    [[nodiscard]] bool suspect_at(const view_target& target, steady_time now) const;
     void weigh(draw& state, std::span<const std::string> excluded) const;
+    void leave_out_suspects(draw& state) const;
     std::optional<std::size_t> draw_target(draw& state);
     std::optional<std::uint32_t> draw_zone(draw& state);
     std::size_t draw_in_zone(draw& state, std::uint32_t zone);
