--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -87,6 +87,7 @@
     }
     out.target_idle = routing.milliseconds_or("target_idle_ms", 30s, long_time_ms);
     out.non_idempotent_idle = routing.milliseconds_or("non_idempotent_idle_ms", 30s, long_time_ms);
+    out.ping_idle = routing.milliseconds_or("ping_idle_ms", 100ms, short_time_ms);
     out.ping_deadline = routing.milliseconds_or("ping_deadline_ms", 300ms, short_time_ms);
     routing.refuse_unknown_keys();
 }
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -79,6 +79,7 @@
     std::optional<fleet_retry_settings> fleet_retries;
     std::chrono::milliseconds target_idle{};          ///< Idle connections to targets are closed after this time.
     std::chrono::milliseconds non_idempotent_idle{};  ///< The same for reuse by requests that may run only once.
+    std::chrono::milliseconds ping_idle{};  ///< Silence of a peer connection with open streams before a ping goes out.
     std::chrono::milliseconds ping_deadline{};        ///< A peer connection without an answer for longer is replaced.
 
     std::optional<neighbour_settings> beside;  ///< The target on this instance; empty when targets announce themselves.
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -64,6 +64,7 @@
                      }}),
       peers_(control.get_executor(), context.clock,
              {.bind_address = context.settings.bind_address.value_or(""),
+              .ping_idle = context.settings.ping_idle,
               .ping_deadline = context.settings.ping_deadline,
               .on_silent_connection = {}}),
       fleet_(control.get_executor(), context, peers_,
--- a/modules/node/health_exchange.cpp
+++ b/modules/node/health_exchange.cpp
@@ -118,12 +118,22 @@
     }
     const auto nodes = context_.nodes.read();
     std::set<endpoint> found;
+    std::set<endpoint> near;
     for (const registered_target& target : router->targets()) {
         const auto node = nodes->find(target.node);
-        if (target.node != context_.self.name && node != nodes->end()) {
-            found.insert(node->second.peer);
+        if (target.node == context_.self.name || node == nodes->end()) {
+            continue;
+        }
+        found.insert(node->second.peer);
+        if (node->second.zone == context_.settings.availability_zone) {
+            near.insert(node->second.peer);
         }
     }
+    // Two other targets are enough for a comparison, and bytes within the zone cost nothing.
+    constexpr std::size_t enough = 2;
+    if (near.size() >= enough) {
+        found = std::move(near);
+    }
     std::vector<endpoint> gates;
     std::sample(found.begin(), found.end(), std::back_inserter(gates), limit, random_);
     return gates;
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -65,6 +65,7 @@
       router_(context),
       peers_(executor, context.clock,
              {.bind_address = context.settings.bind_address.value_or(""),
+              .ping_idle = context.settings.ping_idle,
               .ping_deadline = context.settings.ping_deadline,
               .on_silent_connection = [this](const endpoint& peer) { on_silent_connection(peer); }}),
       gate_(context.clock, context.tickets, make_gate_hooks()),
