--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -29,8 +29,8 @@
     for (const std::string& service : services) {
         service_rules rules = routing->rules_of(service);
         if (context_.settings.fleet_retries) {
-            // Each node counts in whole seconds of its own, so windows of the fleet see a little more.
-            constexpr double used_part = 0.75;
+            // Leaves room for the calls that repeated runs make again at this service.
+            constexpr double used_part = 0.6;
             rules.retry_budget_share = used_part * context_.settings.fleet_retries->ratio;
         }
         context_.services.router(service).on_rules(rules);
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -12,8 +12,9 @@
     options.floor_per_s = settings.retry_floor_per_s;
     if (settings.fleet_retries) {
         const fleet_retry_settings& shared = *settings.fleet_retries;
-        // The nodes' views of their number differ for a while after each change of it.
-        constexpr double used_part = 0.7;
+        // A run that is a repeat makes its calls again, which count at the called service, and the nodes' views of
+        // their number differ for a while after each change of it.
+        constexpr double used_part = 0.5;
         options.fleet_floor_per_s = used_part * shared.slack / std::chrono::duration<double>(shared.window).count();
         options.counts_requests = true;
     }
