--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -201,9 +201,8 @@
 }
 
 awaitable<bool> caller_connection::serve_parsed(parser& parser) {
-    absl::StatusOr<request_head> head =
-        make_request_head(parser.get(), context_->clock.now(), context_->options.max_timeout,
-                          context_->options.dialect);
+    absl::StatusOr<request_head> head = make_request_head(
+        parser.get(), context_->clock.now(), context_->options.max_timeout, context_->options.dialect);
     if (!head.ok()) {
         co_await refuse(error_kind::malformed_request, text_of(head.status()));
         co_return false;
@@ -243,10 +242,10 @@
     overlapped_.insert(request);
     ++context_->open_exchanges;
     net::co_spawn(socket_.get_executor(), run_overlapped(request),
-                  net::bind_cancellation_slot(request->cancel.slot(),
-                                              [self = shared_from_this(), request](const std::exception_ptr&) {
-                                                  self->overlapped_ended(request);
-                                              }));
+                  net::bind_cancellation_slot(request->cancel.slot(), [self = shared_from_this(),
+                                                                       request](const std::exception_ptr&) {
+                      self->overlapped_ended(request);
+                  }));
 }
 
 awaitable<void> caller_connection::run_overlapped(std::shared_ptr<overlapped_request> request) {
@@ -256,6 +255,8 @@
     caller_writer writer(socket_, write_deadline_, settings);
     exchange_result result = failed_exchange(error_kind::cancelled, "the caller went away");
     co_await run_handler(request->head, body, writer, result);
+    // From here on closing_ ends the coroutine; a cancelled state would make its end throw in co_spawn.
+    co_await net::this_coro::reset_cancellation_state(net::disable_cancellation());
     if (!closing_) {
         co_await answer_overlapped(*request, writer, result);
     }
--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -19,10 +19,10 @@
 
 struct caller_server_options {
     endpoint listen{"127.0.0.1", 0};
-    bool reuse_port = false;                     ///< Sets SO_REUSEPORT: one acceptor for each shard.
-    std::string node = {};                       ///< Value of the Teaselpitch-Node field.
-    caller_limits limits = {};                   ///< Replaced by set_limits().
-    http_dialect dialect = {};                   ///< Header fields towards callers.
+    bool reuse_port = false;    ///< Sets SO_REUSEPORT: one acceptor for each shard.
+    std::string node = {};      ///< Value of the Teaselpitch-Node field.
+    caller_limits limits = {};  ///< Replaced by set_limits().
+    http_dialect dialect = {};  ///< Header fields towards callers.
     std::size_t max_connections = std::size_t{16} * 1024;  ///< Accepting pauses at this number.
     std::size_t max_overlapped = 32;                       ///< Requests of one connection that run at a time.
     std::chrono::milliseconds body_timeout{30'000};        ///< Without progress on the request body.
--- a/drivers/http/error_reply.h
+++ b/drivers/http/error_reply.h
@@ -10,11 +10,11 @@
 
 /// What an error answer says beside the result of the exchange.
 struct error_reply_context {
-    std::string_view request_id;  ///< Omitted when empty.
-    std::string_view node;        ///< Omitted when empty.
-    bool close = false;           ///< Adds Connection: close.
-    bool keep_alive = false;      ///< Adds Connection: keep-alive, for HTTP/1.0 callers.
-    bool head_only = false;       ///< The request was HEAD: no body is sent.
+    std::string_view request_id;            ///< Omitted when empty.
+    std::string_view node;                  ///< Omitted when empty.
+    bool close = false;                     ///< Adds Connection: close.
+    bool keep_alive = false;                ///< Adds Connection: keep-alive, for HTTP/1.0 callers.
+    bool head_only = false;                 ///< The request was HEAD: no body is sent.
     const http_dialect* dialect = nullptr;  ///< The project's own interface when null.
 };
 
--- a/drivers/http/header_rules.cpp
+++ b/drivers/http/header_rules.cpp
@@ -176,7 +176,8 @@
                           request_head& head) {
     std::chrono::milliseconds timeout = max_timeout;
     if (header.count(beast_view(dialect.timeout_ms)) == 1) {
-        const std::optional<std::uint64_t> given = parse_digits(view_of(header[beast_view(dialect.timeout_ms)]));
+        const std::optional<std::uint64_t> given =
+            parse_digits(view_of(header[beast_view(dialect.timeout_ms)]));
         if (!given.has_value()) {
             return absl::InvalidArgumentError(dialect.timeout_ms + " is not a number of milliseconds");
         }
--- a/drivers/http/target_client.cpp
+++ b/drivers/http/target_client.cpp
@@ -35,8 +35,7 @@
     endpoint target_;
 };
 
-std::unique_ptr<target_connection> target_client::pool::take_idle(
-    std::chrono::milliseconds longest_idle) {
+std::unique_ptr<target_connection> target_client::pool::take_idle(std::chrono::milliseconds longest_idle) {
     drop_old();
     const steady_time oldest = clock.now() - longest_idle;
     // The connection that was used last is on top.
--- a/drivers/http/target_client.h
+++ b/drivers/http/target_client.h
@@ -20,7 +20,8 @@
     std::chrono::milliseconds connect_timeout{1'000};  ///< The deadline of the request may be shorter.
     std::chrono::milliseconds idle_timeout{30'000};    ///< Older idle connections are not reused.
     std::size_t max_idle = 64;                         ///< Idle connections that are kept.
-    /// Older idle connections are not reused for requests that may run only once: the target may be closing them.
+    /// Older idle connections are not reused for requests that may run only once: the target may be closing
+    /// them.
     std::chrono::milliseconds non_idempotent_idle{30'000};
     std::uint32_t max_header_bytes = 64 * 1024;  ///< Header of an answer.
     http_dialect dialect = {};                   ///< Header fields towards targets.
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -32,9 +32,9 @@
 /// The platform's store as the source of the configuration and of the first contacts.
 struct store_settings {
     endpoint address;
-    endpoint readiness_listen;  ///< Where the platform asks whether this node takes callers.
-    std::chrono::milliseconds heartbeat{};         ///< Interval at which targets announce themselves.
-    std::chrono::milliseconds drain_limit{};       ///< Time from SIGTERM until the platform kills the process.
+    endpoint readiness_listen;                ///< Where the platform asks whether this node takes callers.
+    std::chrono::milliseconds heartbeat{};    ///< Interval at which targets announce themselves.
+    std::chrono::milliseconds drain_limit{};  ///< Time from SIGTERM until the platform kills the process.
 
     bool operator==(const store_settings&) const = default;
 };
@@ -44,8 +44,9 @@
     std::string name;
     std::string availability_zone;
     std::string region;
-    std::size_t threads = 2;      ///< Shards that serve requests, besides the control thread.
-    unsigned tick_factor = 1;     ///< Stretches the control thread's ticks, for instances with little processor time.
+    std::size_t threads = 2;  ///< Shards that serve requests, besides the control thread.
+    unsigned tick_factor =
+        1;  ///< Stretches the control thread's ticks, for instances with little processor time.
 
     endpoint caller_listen;
     endpoint admin_listen;
@@ -77,13 +78,17 @@
     double retry_floor_per_s = 0;       ///< Retries of a service that this node may send without any success.
     /// What all nodes together may repeat; empty when each node has a budget of its own.
     std::optional<fleet_retry_settings> fleet_retries;
-    std::chrono::milliseconds target_idle{};          ///< Idle connections to targets are closed after this time.
-    std::chrono::milliseconds non_idempotent_idle{};  ///< The same for reuse by requests that may run only once.
-    std::chrono::milliseconds ping_idle{};  ///< Silence of a peer connection with open streams before a ping goes out.
-    std::chrono::milliseconds ping_deadline{};        ///< A peer connection without an answer for longer is replaced.
-
-    std::optional<neighbour_settings> beside;  ///< The target on this instance; empty when targets announce themselves.
-    std::optional<store_settings> store;       ///< The platform's store; empty when the table is on the log.
+    std::chrono::milliseconds target_idle{};  ///< Idle connections to targets are closed after this time.
+    std::chrono::milliseconds
+        non_idempotent_idle{};  ///< The same for reuse by requests that may run only once.
+    std::chrono::milliseconds
+        ping_idle{};  ///< Silence of a peer connection with open streams before a ping goes out.
+    std::chrono::milliseconds
+        ping_deadline{};  ///< A peer connection without an answer for longer is replaced.
+
+    std::optional<neighbour_settings>
+        beside;  ///< The target on this instance; empty when targets announce themselves.
+    std::optional<store_settings> store;  ///< The platform's store; empty when the table is on the log.
 
     event_level log_level = event_level::info;
 };
--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -5,9 +5,9 @@
 
 #include "core/clock.h"
 #include "core/event_log.h"
+#include "drivers/settings/node_settings.h"
 #include "modules/node/node.h"
 #include "platform/node_platform.h"
-#include "drivers/settings/node_settings.h"
 
 namespace teaselpitch {
 namespace {
@@ -40,7 +40,8 @@
     const system_time_source clock;
     const auto started =
         std::chrono::duration_cast<std::chrono::microseconds>(clock.wall_now().time_since_epoch());
-    node self(loaded.settings, file, loaded.settings.store ? platform::make_node_platform() : node_platform{}, clock, static_cast<std::uint64_t>(started.count()));
+    node self(loaded.settings, file, loaded.settings.store ? platform::make_node_platform() : node_platform{},
+              clock, static_cast<std::uint64_t>(started.count()));
     const absl::Status ended = self.run();
     if (!ended.ok()) {
         log_event(event_level::error, "node_failed", {{"reason", std::string(ended.message())}});
--- a/modules/node/admin_api.cpp
+++ b/modules/node/admin_api.cpp
@@ -146,8 +146,9 @@
     if (taken.ok()) {
         return json_response(json::object{});
     }
-    log_event(event_level::warning, "target_call_refused",
-              {{"path", request.path}, {"bytes", request.body.size()}, {"reason", std::string(taken.message())}});
+    log_event(
+        event_level::warning, "target_call_refused",
+        {{"path", request.path}, {"bytes", request.body.size()}, {"reason", std::string(taken.message())}});
     return error_response(absl::IsInvalidArgument(taken) ? status_bad_request : status_conflict,
                           std::string(taken.message()));
 }
--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -40,8 +40,9 @@
         status = co_await read_newest();
     }
     if (absl::IsOutOfRange(status)) {
-        log_event(event_level::info, "configuration_gap",
-                  {{"topic", source_.topic}, {"offset", *position_}, {"reason", std::string(status.message())}});
+        log_event(
+            event_level::info, "configuration_gap",
+            {{"topic", source_.topic}, {"offset", *position_}, {"reason", std::string(status.message())}});
         position_.reset();
         status = co_await read_newest();
     }
--- a/modules/node/configuration_feed.h
+++ b/modules/node/configuration_feed.h
@@ -27,8 +27,9 @@
     std::function<void(const std::string& reason)> on_availability;
 };
 
-/// Follows the operator's document on the store: the newest record first and after each gap, long reads in between.
-/// The version in force never goes back, whichever way an older document arrives. Control thread only.
+/// Follows the operator's document on the store: the newest record first and after each gap, long reads in
+/// between. The version in force never goes back, whichever way an older document arrives. Control thread
+/// only.
 class configuration_feed {
 public:
     configuration_feed(keyed_store& store, configuration_source source, configuration_feed_options options,
@@ -59,7 +60,8 @@
     const configuration_feed_options options_;
     const configuration_feed_hooks hooks_;
     std::optional<configuration> current_;
-    std::optional<std::uint64_t> position_;  ///< Offset of the next record; empty before a read of the newest.
+    std::optional<std::uint64_t>
+        position_;  ///< Offset of the next record; empty before a read of the newest.
     bool available_ = true;
     std::chrono::milliseconds backoff_;
     std::minstd_rand random_;
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -167,7 +167,8 @@
     boost::asio::steady_timer timer(control_);
     const steady_time limit = context_.clock.now() + hand_over_timeout;
     // Slots first: keyed requests keep running here until a successor has them.
-    while (context_.settings.claims_enabled && claims_.held_slots() > 0 && context_.clock.now() < limit && fleet_.directory().size() > 1) {
+    while (context_.settings.claims_enabled && claims_.held_slots() > 0 && context_.clock.now() < limit &&
+           fleet_.directory().size() > 1) {
         claims_.on_tick(replica_.slots(), true);
         timer.expires_after(ejector_tick);
         co_await timer.async_wait(boost::asio::use_awaitable);
@@ -188,8 +189,8 @@
     const announcement& message = *call.announced;
     const std::optional<neighbour_settings>& beside = context_.settings.beside;
     if (beside && (message.service != beside->service || message.address != beside->address)) {
-        return absl::InvalidArgumentError("target " + message.identity.name + " of service " + message.service +
-                                          " at " + to_string(message.address) +
+        return absl::InvalidArgumentError("target " + message.identity.name + " of service " +
+                                          message.service + " at " + to_string(message.address) +
                                           " is not the one beside this node");
     }
     absl::Status taken = context_.targets.on_announcement(message);
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -98,10 +98,9 @@
 
 void control_plane::make_feed(const node_platform& platform) {
     const node_settings& settings = context_.settings;
-    store_ = platform.make_store(control_.get_executor(), settings.store->address,
-                                 [this](std::string_view call, unsigned status) {
-                                     context_.metrics.count_store_call(call, status);
-                                 });
+    store_ = platform.make_store(
+        control_.get_executor(), settings.store->address,
+        [this](std::string_view call, unsigned status) { context_.metrics.count_store_call(call, status); });
     feed_ = std::make_unique<configuration_feed>(
         *store_, platform.source, configuration_feed_options{.seed = context_.self.incarnation},
         configuration_feed_hooks{
@@ -112,16 +111,16 @@
                     log_event(event_level::warning, "store_availability",
                               {{"available", reason.empty()}, {"reason", reason}});
                 }});
-    registration_ = std::make_unique<node_registration>(
-        *store_, registered_node{context_.self, settings.peer_advertise},
-        [this](std::vector<registered_node> nodes) {
-            std::vector<endpoint> contacts;
-            contacts.reserve(nodes.size());
-            for (const registered_node& node : nodes) {
-                contacts.push_back(node.peer);
-            }
-            fleet_.add_seeds(contacts);
-        });
+    registration_ =
+        std::make_unique<node_registration>(*store_, registered_node{context_.self, settings.peer_advertise},
+                                            [this](std::vector<registered_node> nodes) {
+                                                std::vector<endpoint> contacts;
+                                                contacts.reserve(nodes.size());
+                                                for (const registered_node& node : nodes) {
+                                                    contacts.push_back(node.peer);
+                                                }
+                                                fleet_.add_seeds(contacts);
+                                            });
 }
 
 void control_plane::on_configuration(const configuration& next) {
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -131,7 +131,8 @@
                   {{"file", file_.path()}, {"key", fault.key_path}, {"reason", fault.reason}});
     }
     if (!loaded.faults.empty()) {
-        log_event(event_level::error, "reload_refused", {{"file", file_.path()}, {"faults", loaded.faults.size()}});
+        log_event(event_level::error, "reload_refused",
+                  {{"file", file_.path()}, {"faults", loaded.faults.size()}});
         return;
     }
     // Everything but the level belongs to sockets and state that exist; it takes effect at the next start.
@@ -154,7 +155,8 @@
 
 void node::set_caller_limits(const caller_limits& limits) {
     for (std::size_t i = 0; i < shard_states_.size(); ++i) {
-        boost::asio::post(shards_.context(i), [this, i, limits] { shard_states_[i]->set_caller_limits(limits); });
+        boost::asio::post(shards_.context(i),
+                          [this, i, limits] { shard_states_[i]->set_caller_limits(limits); });
     }
 }
 
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -6,12 +6,12 @@
 
 #include "absl/status/status.h"
 #include "drivers/http/admin_server.h"
+#include "drivers/settings/settings_file.h"
+#include "drivers/threads/shard_group.h"
 #include "modules/node/admin_api.h"
 #include "modules/node/control_plane.h"
 #include "modules/node/node_context.h"
-#include "drivers/settings/settings_file.h"
 #include "modules/node/node_shard.h"
-#include "drivers/threads/shard_group.h"
 
 namespace teaselpitch {
 
@@ -24,8 +24,8 @@
     node& operator=(const node&) = delete;
     ~node();
 
-    /// Starts the listeners and runs until SIGTERM, SIGINT or a drain request has been carried out. SIGHUP or a
-    /// changed file reloads the settings.
+    /// Starts the listeners and runs until SIGTERM, SIGINT or a drain request has been carried out. SIGHUP or
+    /// a changed file reloads the settings.
     absl::Status run();
 
 private:
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -12,10 +12,11 @@
     options.floor_per_s = settings.retry_floor_per_s;
     if (settings.fleet_retries) {
         const fleet_retry_settings& shared = *settings.fleet_retries;
-        // A run that is a repeat makes its calls again, which count at the called service, and the nodes' views of
-        // their number differ for a while after each change of it.
+        // A run that is a repeat makes its calls again, which count at the called service, and the nodes'
+        // views of their number differ for a while after each change of it.
         constexpr double used_part = 0.5;
-        options.fleet_floor_per_s = used_part * shared.slack / std::chrono::duration<double>(shared.window).count();
+        options.fleet_floor_per_s =
+            used_part * shared.slack / std::chrono::duration<double>(shared.window).count();
         options.counts_requests = true;
     }
     return options;
@@ -24,7 +25,8 @@
 /// Announcements may arrive seconds late, so a target is gone only after several have been missed.
 std::chrono::milliseconds renewal_limit_of(const node_settings& settings) {
     constexpr int missed_heartbeats = 4;
-    return settings.store ? settings.store->heartbeat * missed_heartbeats : target_keeper::usual_renewal_limit;
+    return settings.store ? settings.store->heartbeat * missed_heartbeats
+                          : target_keeper::usual_renewal_limit;
 }
 
 }  // namespace
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -9,12 +9,12 @@
 #include "core/clock.h"
 #include "core/identity.h"
 #include "core/rcu_cell.h"
+#include "drivers/settings/node_settings.h"
 #include "modules/node/account_limits.h"
 #include "modules/node/node_metrics.h"
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
 #include "modules/node/target_keeper.h"
-#include "drivers/settings/node_settings.h"
 #include "servers/exchange/http_dialect.h"
 #include "servers/health/path_judge.h"
 #include "servers/records/decision_log.h"
@@ -36,8 +36,9 @@
 /// State that the shards and the control thread of one node share. Every member is safe to use from several
 /// threads.
 struct node_context {
-    node_context(const node_settings& settings_in, const http_dialect& dialect_in, const time_source& clock_in,
-                 node_identity self_in, std::function<void(std::function<void()>)> post_control_in);
+    node_context(const node_settings& settings_in, const http_dialect& dialect_in,
+                 const time_source& clock_in, node_identity self_in,
+                 std::function<void(std::function<void()>)> post_control_in);
 
     const node_settings& settings;
     const http_dialect& dialect;  ///< Header fields towards callers and targets.
--- a/modules/node/node_platform.h
+++ b/modules/node/node_platform.h
@@ -16,8 +16,8 @@
 
 namespace teaselpitch {
 
-/// What a node needs to know about the platform that it runs on. The defaults are the project's own interface: the
-/// table on the log, and targets that announce themselves at the admin listener.
+/// What a node needs to know about the platform that it runs on. The defaults are the project's own
+/// interface: the table on the log, and targets that announce themselves at the admin listener.
 struct node_platform {
     using call_counter = std::function<void(std::string_view call, unsigned status)>;
 
@@ -27,7 +27,8 @@
         make_store = nullptr;
     configuration_source source;
     /// Reads a call of a target at the admin listener; empty when the request is none.
-    std::function<std::optional<absl::StatusOr<target_call>>(const admin_request&)> read_target_call = nullptr;
+    std::function<std::optional<absl::StatusOr<target_call>>(const admin_request&)> read_target_call =
+        nullptr;
     std::function<bool(const admin_request&)> is_readiness_question = nullptr;
     /// Reads what a target says about itself when it is asked for its health; empty when it is not well.
     std::function<std::optional<announcement>(const http_reply&, const std::string& service,
--- a/modules/node/node_registration.h
+++ b/modules/node/node_registration.h
@@ -24,8 +24,9 @@
 /// Reads a record; INVALID_ARGUMENT when it names no node.
 absl::StatusOr<registered_node> decode_registration(std::string_view name, std::string_view value);
 
-/// Keeps this node's record on the store and finds the first contacts there. After that the nodes know each other by
-/// their own probes and gossip, so that an outage of the store changes nothing between them. Control thread only.
+/// Keeps this node's record on the store and finds the first contacts there. After that the nodes know each
+/// other by their own probes and gossip, so that an outage of the store changes nothing between them. Control
+/// thread only.
 class node_registration {
 public:
     static constexpr std::string_view topic = "keyed.nodes";
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -54,7 +54,8 @@
         return std::nullopt;
     }
     route_decision decision;
-    decision.service = match->split.empty() ? match->service : part_at(match->split, position_of(head)).service;
+    decision.service =
+        match->split.empty() ? match->service : part_at(match->split, position_of(head)).service;
     decision.non_idempotent = match->non_idempotent;
     decision.timeout = routing->timeout_of(*match);
     decision.attempts = match->attempts;
@@ -168,7 +169,8 @@
     record_request(report);
 }
 
-// Each failed request leaves a line; of the others every 64th does, so that the volume stays bounded under load.
+// Each failed request leaves a line; of the others every 64th does, so that the volume stays bounded under
+// load.
 void request_router::log_request(const ingress_report& report) {
     constexpr std::uint64_t sampled = 64;
     constexpr unsigned first_server_error = 500;
--- a/modules/node/service_directory.cpp
+++ b/modules/node/service_directory.cpp
@@ -4,8 +4,8 @@
 
 namespace teaselpitch {
 
-service_directory::service_directory(const time_source& clock, chooser_options options,
-                                     retry_options retries, decision_log& decisions,
+service_directory::service_directory(const time_source& clock, chooser_options options, retry_options retries,
+                                     decision_log& decisions,
                                      std::function<void(const std::string&)> shares_changed)
     : clock_(clock),
       options_(std::move(options)),
@@ -18,8 +18,9 @@
     if (const std::shared_ptr<service_router> known = find(service)) {
         return *known;
     }
-    auto created = std::make_shared<service_router>(clock_, service, options_, seeds_(), decisions_,
-                                                    [this, service] { shares_changed_(service); }, retries_);
+    auto created = std::make_shared<service_router>(
+        clock_, service, options_, seeds_(), decisions_, [this, service] { shares_changed_(service); },
+        retries_);
     auto next = std::make_shared<router_map>(*routers_.read());
     next->emplace(service, created);
     routers_.update(std::move(next));
--- a/modules/node/service_router.h
+++ b/modules/node/service_router.h
@@ -38,8 +38,7 @@
 class service_router {
 public:
     service_router(const time_source& clock, std::string service, chooser_options options, std::uint64_t seed,
-                   decision_log& decisions, std::function<void()> shares_changed,
-                   retry_options retries = {});
+                   decision_log& decisions, std::function<void()> shares_changed, retry_options retries = {});
 
     // Commands for the control thread.
     void on_targets(std::vector<registered_target> targets);
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -381,8 +381,7 @@
         target.failures().on_failure(end.head_latency < usual / 4);
     }
     target.guarded().set_suspect(target.failures().suspect());
-    target.judge().on_end(end.run.ticket, outcome, end.head_latency,
-                          end.run.head.fingerprint);
+    target.judge().on_end(end.run.ticket, outcome, end.head_latency, end.run.head.fingerprint);
     target.guarded().set_badness(target.judge().badness());
 }
 
--- a/modules/node/target_keeper.h
+++ b/modules/node/target_keeper.h
@@ -34,8 +34,8 @@
     endpoint address;
     std::uint32_t slots = 0;
     target_lifecycle state = target_lifecycle::starting;
-    std::uint64_t sequence = 0;                ///< Grows with each announcement of one life; 0 when not counted.
-    std::chrono::milliseconds cold_for{0};     ///< How much longer the target is slow after its start.
+    std::uint64_t sequence = 0;             ///< Grows with each announcement of one life; 0 when not counted.
+    std::chrono::milliseconds cold_for{0};  ///< How much longer the target is slow after its start.
 };
 
 /// A target leaves and finishes only what it already has.
--- a/modules/proxy/gate.h
+++ b/modules/proxy/gate.h
@@ -36,7 +36,8 @@
     std::function<std::shared_ptr<guarded_target>(std::string_view name)> find_target;
     /// True when equal requests crashed several targets.
     std::function<bool(const request_head&)> is_quarantined;
-    /// True when the request should go to another target, because this one failed its latest work; null never.
+    /// True when the request should go to another target, because this one failed its latest work; null
+    /// never.
     std::function<bool(const request_head&, const guarded_target&)> is_suspect = nullptr;
     std::function<awaitable<exchange_result>(const guarded_target&, const request_head&, body_reader&,
                                              response_writer&, const write_permission&)>
--- a/modules/proxy/held_answer.h
+++ b/modules/proxy/held_answer.h
@@ -8,8 +8,8 @@
 
 namespace teaselpitch {
 
-/// Keeps a short answer until it is whole, so that another attempt can replace one that breaks off or reports a
-/// failure of the target. An answer that exceeds the limit streams on to the caller from then on.
+/// Keeps a short answer until it is whole, so that another attempt can replace one that breaks off or reports
+/// a failure of the target. An answer that exceeds the limit streams on to the caller from then on.
 class held_answer final : public response_writer {
 public:
     held_answer(response_writer& caller, std::size_t limit) : caller_(caller), limit_(limit) {}
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -70,7 +70,8 @@
     if (!written.ok()) {
         result = failed_exchange(error_kind::cancelled, "the answer could not be passed on");
     } else if (result.error != error_kind::none) {
-        // A later attempt failed, and the failure that a target answered before it is the truth about the request.
+        // A later attempt failed, and the failure that a target answered before it is the truth about the
+        // request.
         result.error = error_kind::none;
         result.execution = execution_state::run;
     }
@@ -148,8 +149,7 @@
 }
 
 awaitable<exchange_result> ingress::attempt_one(const route_choice& choice, const request_head& head,
-                                                replayable_body& body, held_answer& answer,
-                                                progress& state) {
+                                                replayable_body& body, held_answer& answer, progress& state) {
     request_head attempt = head;
     attempt.target = choice.target;
     attempt.last_resort = attempt.last_resort || choice.suspect;
@@ -161,8 +161,8 @@
     state.sends += result.execution == execution_state::not_run ? 0 : 1;
     state.search.on_attempt(choice.target.name, result);
     state.attempts.push_back(describe_attempt(choice, result));
-    hooks_.attempt_ended({attempt, choice, result, static_cast<std::uint32_t>(state.attempts.size()),
-                          clock_.now() - start});
+    hooks_.attempt_ended(
+        {attempt, choice, result, static_cast<std::uint32_t>(state.attempts.size()), clock_.now() - start});
     co_return result;
 }
 
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -14,8 +14,8 @@
 #include "core/clock.h"
 #include "modules/proxy/held_answer.h"
 #include "modules/proxy/replayable_body.h"
-#include "servers/routing/target_search.h"
 #include "servers/exchange/exchange.h"
+#include "servers/routing/target_search.h"
 
 namespace teaselpitch {
 
@@ -27,7 +27,8 @@
     endpoint peer;                     ///< Peer listener of the node.
     std::string reason;                ///< Which rule chose it, for explain.
     std::shared_ptr<const void> hold;  ///< Keeps the request counted at the target until the attempt ends.
-    bool suspect = false;  ///< No better target is left, so that the gate should not refuse the request for that.
+    bool suspect =
+        false;  ///< No better target is left, so that the gate should not refuse the request for that.
 };
 
 /// What routing says about a request.
@@ -96,8 +97,8 @@
     std::size_t held_bytes = 0;  ///< Longest answer that is held until it is whole; 0 streams all answers.
     /// Gates that are asked for a free slot before the request queues at one; 0 queues at the first.
     std::uint32_t free_slot_hops = 0;
-    std::uint32_t max_hops = 8;   ///< Gates that are asked in all.
-    std::string caller_service;   ///< Service of this instance, for targets; empty for none.
+    std::uint32_t max_hops = 8;  ///< Gates that are asked in all.
+    std::string caller_service;  ///< Service of this instance, for targets; empty for none.
 };
 
 /// Takes a caller's request, finds its service, and tries targets until one answers or trying again would
@@ -113,7 +114,7 @@
     struct progress {
         target_search search;
         std::vector<std::string> attempts{};  ///< One line for each attempt.
-        std::uint32_t sends = 0;            ///< Attempts that ran at a target or may have.
+        std::uint32_t sends = 0;              ///< Attempts that ran at a target or may have.
         std::uint32_t allowed_sends = 3;
     };
 
--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -20,6 +20,9 @@
 constexpr double late_guard = 3;
 constexpr milliseconds min_retry_after{50};
 
+// Guarantee P5 allows 2 s until a leaving target gets no more work; a queued request goes elsewhere well
+// before.
+constexpr milliseconds leaving_grace{1'000};
 constexpr std::size_t most_classes = 256;  // Bounds the memory against a configuration with very many routes.
 
 constexpr std::string_view leaving_reason = "The target is leaving.";
@@ -28,7 +31,8 @@
 constexpr std::string_view late_reason = "The request cannot finish before its deadline.";
 constexpr std::string_view full_reason = "The queue of the target is full.";
 constexpr std::string_view busy_reason = "No slot is free, and the request does not queue.";
-constexpr std::string_view outranked_reason = "Requests of a higher rank take the slots until it would be late.";
+constexpr std::string_view outranked_reason =
+    "Requests of a higher rank take the slots until it would be late.";
 constexpr std::string_view displaced_reason = "The account holds the largest part of a full queue.";
 constexpr std::string_view waited_reason = "No slot became free within the longest wait.";
 
@@ -181,6 +185,10 @@
 void admission_queue::set_leaving() {
     const std::lock_guard lock(mutex_);
     leaving_ = true;
+    const steady_time last = clock_.now() + leaving_grace;
+    for (waiting& entry : queue_) {
+        entry.latest_start = std::min(entry.latest_start, last);
+    }
 }
 
 admission_load admission_queue::load() const {
@@ -291,9 +299,8 @@
 
 void admission_queue::insert(const waiting& entry) {
     // Equal requests keep their order of arrival: the newer one goes in front, further from the end.
-    const auto place = std::partition_point(queue_.begin(), queue_.end(), [&entry](const waiting& other) {
-        return goes_before(entry, other);
-    });
+    const auto place = std::partition_point(
+        queue_.begin(), queue_.end(), [&entry](const waiting& other) { return goes_before(entry, other); });
     queue_.insert(place, entry);
     ++queued_by_account_[entry.account];
 }
@@ -316,8 +323,11 @@
         }
         const waiting entry = remove_at(i);
         const bool expired = entry.deadline <= now;
-        const offer_result refused = refusal(expired ? error_kind::deadline_expired : error_kind::overloaded,
-                                             expired ? deadline_reason : waited_reason);
+        offer_result refused = refusal(expired ? error_kind::deadline_expired : error_kind::overloaded,
+                                       expired ? deadline_reason : waited_reason);
+        if (leaving_ && !expired) {
+            refused = refusal(error_kind::target_leaving, leaving_reason);
+        }
         late.push_back({entry.ticket, refused.error, refused.reason, refused.retry_after});
     }
     return late;
--- a/servers/admission/admission_queue.h
+++ b/servers/admission/admission_queue.h
@@ -28,11 +28,11 @@
 /// What the queue needs to know about a request.
 struct admission_request {
     steady_time deadline{};
-    steady_time objective{};        ///< An answer after this time is late; the clock's epoch for none.
-    std::uint32_t rank = 0;         ///< Requests with a lower rank go first.
-    std::uint64_t work_class = 0;   ///< Requests of one class take about the same time; 0 for unknown.
+    steady_time objective{};       ///< An answer after this time is late; the clock's epoch for none.
+    std::uint32_t rank = 0;        ///< Requests with a lower rank go first.
+    std::uint64_t work_class = 0;  ///< Requests of one class take about the same time; 0 for unknown.
     std::string_view account{};
-    bool may_queue = true;          ///< Otherwise the request is refused when no slot is free.
+    bool may_queue = true;  ///< Otherwise the request is refused when no slot is free.
 };
 
 enum class offer_outcome : std::uint8_t { admitted, queued, refused };
@@ -75,15 +75,15 @@
     admission_state state = admission_state::open;
 };
 
-/// Admits requests to one target: as many as it has slots, plus a short queue in order of rank, then of the time by
-/// which each must start.
+/// Admits requests to one target: as many as it has slots, plus a short queue in order of rank, then of the
+/// time by which each must start.
 ///
-/// Pattern: demand beyond capacity with several ranks of requests whose work differs by a factor of ten, calls that
-/// running requests wait for among them. A request is queued only when it and every request of its rank or a higher
-/// one behind it can still start in time; those of lower ranks that no longer can are refused at once. Times of work
-/// are learned for each class, so that short calls are not held to be as long as the rest. A request that would miss
-/// its objective may wait behind all others of its rank. When there is no
-/// room, a request of an account with few queued requests takes the place of one from the account with the
+/// Pattern: demand beyond capacity with several ranks of requests whose work differs by a factor of ten,
+/// calls that running requests wait for among them. A request is queued only when it and every request of its
+/// rank or a higher one behind it can still start in time; those of lower ranks that no longer can are
+/// refused at once. Times of work are learned for each class, so that short calls are not held to be as long
+/// as the rest. A request that would miss its objective may wait behind all others of its rank. When there is
+/// no room, a request of an account with few queued requests takes the place of one from the account with the
 /// most, so that one account cannot fill the queue. Thread-safe; each call holds one lock briefly.
 class admission_queue {
 public:
--- a/servers/routing/retry_policy.cpp
+++ b/servers/routing/retry_policy.cpp
@@ -108,9 +108,9 @@
 double retry_policy::budget_locked() const {
     const std::int64_t oldest = current_second() - static_cast<std::int64_t>(window_seconds) + 1;
     const bool shared = options_.fleet_floor_per_s > 0;
-    const double floor_per_s = shared ? options_.fleet_floor_per_s /
-                                            static_cast<double>(std::max(nodes_, options_.least_nodes))
-                                      : options_.floor_per_s;
+    const double floor_per_s =
+        shared ? options_.fleet_floor_per_s / static_cast<double>(std::max(nodes_, options_.least_nodes))
+               : options_.floor_per_s;
     double budget = floor_per_s * static_cast<double>(window_seconds);
     for (const second_count& count : counts_) {
         if (count.second >= oldest) {
--- a/servers/routing/retry_policy.h
+++ b/servers/routing/retry_policy.h
@@ -15,8 +15,8 @@
 struct retry_options {
     double budget_share = 0.10;  ///< Retries per recent success; column retry_budget_pct of the table.
     double floor_per_s = 1.0;    ///< Retries per second that are allowed without any success.
-    /// Retries per second that all nodes together may send without any success; each takes an equal part of it,
-    /// in place of floor_per_s. 0 when each node has a floor of its own.
+    /// Retries per second that all nodes together may send without any success; each takes an equal part of
+    /// it, in place of floor_per_s. 0 when each node has a floor of its own.
     double fleet_floor_per_s = 0;
     /// Nodes among which the fleet's floor is divided at least, for a node that knows few others.
     std::size_t least_nodes = 16;
--- a/servers/routing/target_search.h
+++ b/servers/routing/target_search.h
@@ -12,19 +12,21 @@
 
 /// The search of one request for a target that takes it, over the refusals of gates.
 ///
-/// Pattern: most targets are full or failing for a moment while a few have room, and load reports are old by the
-/// time they are read. The search first asks a few gates for a free slot, then queues at one, and takes a suspect
-/// target only when no other is left, so that capacity that works is not left idle by an outdated view.
+/// Pattern: most targets are full or failing for a moment while a few have room, and load reports are old by
+/// the time they are read. The search first asks a few gates for a free slot, then queues at one, and takes a
+/// suspect target only when no other is left, so that capacity that works is not left idle by an outdated
+/// view.
 class target_search {
 public:
-    /// `free_slot_hops` gates are asked for a free slot before the request queues; `max_hops` are asked in all.
+    /// `free_slot_hops` gates are asked for a free slot before the request queues; `max_hops` are asked in
+    /// all.
     target_search(std::uint32_t free_slot_hops, std::uint32_t max_hops);
 
     // Commands.
     /// Takes the end of an attempt at a target.
     void on_attempt(std::string_view target, const exchange_result& result);
-    /// Called when no target is left: allows targets that refused for a reason which may be overruled. False when
-    /// there is none.
+    /// Called when no target is left: allows targets that refused for a reason which may be overruled. False
+    /// when there is none.
     bool widen();
 
     // Queries.
--- a/servers/table/rows.h
+++ b/servers/table/rows.h
@@ -55,7 +55,7 @@
     double objective_pct = 99.9;
     std::uint32_t objective_latency_ms = 0;  ///< 0 is no latency objective.
     std::string health_path{"/health"};      ///< Path that a node asks for the health of a target.
-    std::uint32_t connections = 0;           ///< Connections that a target takes from all nodes; 0 is no limit.
+    std::uint32_t connections = 0;  ///< Connections that a target takes from all nodes; 0 is no limit.
 
     [[nodiscard]] row_key key() const { return {service, availability_zone}; }
     bool operator==(const service_row&) const = default;
@@ -73,7 +73,7 @@
     std::uint32_t attempts = 3;      ///< Targets that one request may be sent to.
     std::uint32_t objective_ms = 0;  ///< Latency above which an answer is late; 0 takes the service's.
     std::uint32_t priority = 0;      ///< Requests with a lower number go first.
-    std::string split;               ///< Shares of the services, as SERVICE:WEIGHT|...; empty sends all to `service`.
+    std::string split;  ///< Shares of the services, as SERVICE:WEIGHT|...; empty sends all to `service`.
 
     [[nodiscard]] row_key key() const { return {host, path_prefix}; }
     bool operator==(const route_row&) const = default;
--- a/servers/table/traffic_split.h
+++ b/servers/table/traffic_split.h
@@ -17,8 +17,8 @@
     bool operator==(const split_part&) const = default;
 };
 
-/// Parses the split column of a route row: SERVICE:WEIGHT|SERVICE:WEIGHT. Empty when the text is malformed, names
-/// a service twice, or has no weight above 0.
+/// Parses the split column of a route row: SERVICE:WEIGHT|SERVICE:WEIGHT. Empty when the text is malformed,
+/// names a service twice, or has no weight above 0.
 std::optional<std::vector<split_part>> parse_split(std::string_view text);
 
 /// The text form of the parts.
--- /dev/null
+++ b/tests/drivers/http/overlapped_requests_test.cpp
@@ -0,0 +1,97 @@
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+#include "tests/drivers/http/fake_target.h"
+#include "tests/drivers/http/http_fixture.h"
+
+namespace teaselpitch::testing {
+namespace {
+
+/// A handler whose requests wait until they are let go; it counts what was cancelled.
+struct held_requests {
+    int running = 0;
+    int cancelled = 0;
+    bool released = false;
+
+    awaitable<exchange_result> run(const request_head& head, body_reader& body, response_writer& writer) {
+        ++running;
+        net::steady_timer timer(co_await net::this_coro::executor);
+        while (!released) {
+            timer.expires_after(std::chrono::milliseconds(1));
+            try {
+                co_await timer.async_wait(net::use_awaitable);
+            } catch (const boost::system::system_error&) {
+                ++cancelled;
+                co_return failed_exchange(error_kind::cancelled, "");
+            }
+        }
+        co_return co_await echo(head, body, writer);
+    }
+};
+
+struct leaving_case {
+    const char* name;
+    std::string requests;
+    int running;
+};
+
+std::ostream& operator<<(std::ostream& out, const leaving_case& value) {
+    return out << value.name;
+}
+
+const std::vector<leaving_case> leaving_cases{
+    {"connection that is kept", "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", 1},
+    {"connection that closes after the answer", "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 1},
+    {"overlapping requests", "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n", 2},
+    {"request with a body", "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx", 1},
+};
+
+}  // namespace
+
+// Guards against work that goes on for a caller who has left.
+BOOST_DATA_TEST_CASE(leaving_caller_cancels_its_requests, boost::unit_test::data::make(leaving_cases), row) {
+    const leaving_case expected = row;
+    held_requests requests;
+    server_fixture fixture([&](const request_head& head, body_reader& body, response_writer& writer) {
+        return requests.run(head, body, writer);
+    });
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send(expected.requests);
+        co_await wait_until([&] { return requests.running == expected.running; });
+        error_code ignored;
+        caller.socket.close(ignored);
+        co_await wait_until([&] { return requests.cancelled == expected.running; });
+        BOOST_TEST(fixture.server.open_exchanges() <= static_cast<std::size_t>(expected.running));
+    }());
+}
+
+// Guards against answers that overtake those of earlier requests, and against requests that wait for earlier
+// answers.
+BOOST_AUTO_TEST_CASE(overlapping_requests_are_answered_in_order) {
+    held_requests requests;
+    server_fixture fixture([&](const request_head& head, body_reader& body,
+                               response_writer& writer) -> awaitable<exchange_result> {
+        if (head.path == "/slow") {
+            return requests.run(head, body, writer);
+        }
+        return echo(head, body, writer);
+    });
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /quick HTTP/1.1\r\nHost: a\r\n\r\n");
+        co_await wait_until([&] { return fixture.handler.calls == 2; });
+        requests.released = true;
+        const auto first = co_await caller.read_answer();
+        BOOST_TEST(first.body() == "GET /slow ");
+        const auto second = co_await caller.read_answer();
+        BOOST_TEST(second.body() == "GET /quick ");
+    }());
+}
+
+}  // namespace teaselpitch::testing
--- /dev/null
+++ b/tests/modules/node/node_registration_test.cpp
@@ -0,0 +1,45 @@
+#include "modules/node/node_registration.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace teaselpitch {
+namespace {
+
+struct record_case {
+    const char* name;
+    std::string key;
+    std::string value;
+    bool valid;
+};
+
+std::ostream& operator<<(std::ostream& out, const record_case& value) {
+    return out << value.name;
+}
+
+const std::vector<record_case> record_cases{
+    {"as written", "n1", "17 10.0.0.1:7620", true},   {"no name", "", "17 10.0.0.1:7620", false},
+    {"no incarnation", "n1", "10.0.0.1:7620", false}, {"text as incarnation", "n1", "x 10.0.0.1:7620", false},
+    {"host name", "n1", "17 web:7620", false},        {"no port", "n1", "17 10.0.0.1", false},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(node_records)
+
+// Guards against a foreign record in the topic that becomes a contact.
+BOOST_DATA_TEST_CASE(records_are_checked, boost::unit_test::data::make(record_cases), row) {
+    const auto node = decode_registration(row.key, row.value);
+    BOOST_TEST(node.ok() == row.valid);
+    if (node.ok()) {
+        BOOST_TEST(encode_registration(*node) == row.value);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch
--- /dev/null
+++ b/tests/platform/operator_document_test.cpp
@@ -0,0 +1,116 @@
+#include "platform/operator_document.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace teaselpitch::platform {
+namespace {
+
+const std::string valid = R"({"version":"0000001f","baseVersion":"0000001c","resources":[
+{"resourceType":"routes","metadata":{"name":"r-1"},"spec":{"host":"maker.example","pathPrefix":"/catalog/",
+ "kind":"safe","timeoutMs":4000,"targetLatencyMs":1500,"priority":2,
+ "trafficSplit":[{"service":"vitrine","weight":90},{"service":"contratos","weight":10}],"attempts":2}},
+{"resourceType":"routes","metadata":{"name":"r-2"},"spec":{"host":"maker.example","pathPrefix":"/deposit/",
+ "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":1200,"priority":1,"service":"contratos","attempts":2}},
+{"resourceType":"routes","metadata":{"name":"r-3"},"spec":{"host":"maker.example","pathPrefix":"/photos/",
+ "kind":"upload","timeoutMs":5000,"service":"vitrine"}},
+{"resourceType":"services","metadata":{"name":"vitrine"},"spec":{"healthPath":"/health","maxConnections":360}},
+{"resourceType":"services","metadata":{"name":"contratos"},"spec":{"healthPath":"/ok","maxConnections":300}},
+{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":8192,"maxBodyBytes":1000,"headerTimeoutMs":3000,
+ "idleTimeoutMs":15000}}]})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+struct fault_case {
+    const char* name;
+    std::string document;
+    std::string reason;  ///< Part of the message.
+};
+
+std::ostream& operator<<(std::ostream& out, const fault_case& value) {
+    return out << value.name;
+}
+
+const std::vector<fault_case> fault_cases{
+    {"no JSON", "\x01\x02", "not JSON"},
+    {"cut short", valid.substr(0, valid.size() / 2), "not JSON"},
+    {"no object", "[]", "version"},
+    {"no version", replaced(valid, "\"version\"", "\"v\""), "version"},
+    {"version of another form", replaced(valid, "0000001f", "v31"), "hexadecimal"},
+    {"version 0", replaced(valid, "0000001f", "00000000"), "above 0"},
+    {"version as a number", replaced(valid, "\"0000001f\"", "31"), "version"},
+    {"no resources", replaced(valid, "\"resources\"", "\"things\""), "resources"},
+    {"unknown kind", replaced(valid, "\"unsafe\"", "\"maybe\""), "\"maybe\" is unknown"},
+    {"unknown service",
+     replaced(valid, "\"service\":\"contratos\",\"attempts\"", "\"service\":\"nobody\",\"attempts\""),
+     "nobody"},
+    {"negative time", replaced(valid, "\"timeoutMs\":3000", "\"timeoutMs\":-1"), "timeoutMs"},
+    {"time of another type", replaced(valid, "\"timeoutMs\":3000", "\"timeoutMs\":\"3000\""), "timeoutMs"},
+    {"missing time", replaced(valid, "\"timeoutMs\":3000,", ""), "timeoutMs"},
+    {"split without weight",
+     replaced(valid, "{\"service\":\"contratos\",\"weight\":10}", "{\"service\":\"contratos\"}"), "weight"},
+    {"split without parts",
+     replaced(valid,
+              "[{\"service\":\"vitrine\",\"weight\":90},"
+              "{\"service\":\"contratos\",\"weight\":10}]",
+              "[]"),
+     "trafficSplit"},
+    {"all weights 0", replaced(replaced(valid, ":90}", ":0}"), ":10}", ":0}"), "split"},
+    {"two routes with one key", replaced(valid, "/photos/", "/deposit/"), "more than once"},
+    {"spec of another type",
+     replaced(valid, "\"spec\":{\"healthPath\":\"/ok\",\"maxConnections\":300}", "\"spec\":5"), "spec"},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(operator_document)
+
+// Guards against a field of the platform that ends up in the wrong column, or with another unit.
+BOOST_AUTO_TEST_CASE(each_field_reaches_its_column) {
+    const auto read = decode_operator_document(valid);
+    BOOST_REQUIRE_MESSAGE(read.ok(), read.status().ToString());
+    BOOST_TEST(read->version == 0x1fU);
+    BOOST_TEST(read->document == valid);
+    const route_row* split = read->rows->route("maker.example", "/catalog/");
+    BOOST_REQUIRE(split != nullptr);
+    BOOST_TEST(split->split == "vitrine:90|contratos:10");
+    BOOST_TEST((split->non_idempotent == non_idempotent_rule::no));
+    BOOST_TEST(split->timeout_ms == 4000U);
+    BOOST_TEST(split->objective_ms == 1500U);
+    BOOST_TEST(split->attempts == 2U);
+    BOOST_TEST(split->priority == 2U);
+    const route_row* deposit = read->rows->route("maker.example", "/deposit/");
+    BOOST_REQUIRE(deposit != nullptr);
+    BOOST_TEST(deposit->service == "contratos");
+    BOOST_TEST((deposit->non_idempotent == non_idempotent_rule::yes));
+    const route_row* photos = read->rows->route("maker.example", "/photos/");
+    BOOST_REQUIRE(photos != nullptr);
+    BOOST_TEST((photos->non_idempotent == non_idempotent_rule::yes));
+    BOOST_TEST(photos->attempts == 1U);
+    const service_row* contratos = read->rows->service("contratos", "caxias");
+    BOOST_REQUIRE(contratos != nullptr);
+    BOOST_TEST(contratos->health_path == "/ok");
+    BOOST_TEST(contratos->connections == 300U);
+    BOOST_TEST(read->limits.max_header_bytes == 8192U);
+    BOOST_TEST(read->limits.max_body_bytes == 1000U);
+    BOOST_TEST(read->limits.header_timeout.count() == 3000);
+    BOOST_TEST(read->limits.idle_timeout.count() == 15000);
+}
+
+// Guards against a document of another writer, or one that is broken, that takes effect in part.
+BOOST_DATA_TEST_CASE(faulty_documents_are_refused_whole, boost::unit_test::data::make(fault_cases), row) {
+    const auto read = decode_operator_document(row.document);
+    BOOST_REQUIRE(!read.ok());
+    BOOST_TEST((std::string(read.status().message()).find(row.reason) != std::string::npos),
+               read.status().ToString());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch::platform
