--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -39,7 +39,7 @@
     bool operator==(const store_settings&) const = default;
 };
 
-/// The settings of teaselpitch-node. docs/operating.md describes each key.
+/// The settings of teaselpitch-node. docs/OPERATIONS.md describes each key.
 struct node_settings {
     std::string name;
     std::string availability_zone;
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -162,6 +162,9 @@
 
 awaitable<void> node::drain() {
     using namespace boost::asio::experimental::awaitable_operators;
+    // Leaves time for the answers to reach their callers before the process ends.
+    constexpr std::chrono::milliseconds answer_margin{700};
+    context_.answer_by = context_.clock.now() + settings_.drain_timeout - answer_margin;
     context_.draining = true;
     log_event(event_level::info, "drain_started", {{"node", context_.self.name}});
     co_await plane_.announce_drain();
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -57,6 +57,7 @@
     target_keeper targets;
     account_limits accounts;
     std::atomic<bool> draining{false};
+    std::atomic<steady_time> answer_by{steady_time{}};  ///< While draining: the time of the last answers.
     std::atomic<bool> configured{true};  ///< False until the first configuration of a node that needs one.
     std::atomic<ticket_id> tickets{1};
     std::atomic<std::uint64_t> request_numbers{1};
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -127,6 +127,9 @@
 ingress_hooks node_shard::make_ingress_hooks() {
     ingress_hooks hooks;
     hooks.check_ready = [this] { return router_.check_ready(); };
+    hooks.answer_by = [this]() -> std::optional<steady_time> {
+        return context_.draining ? std::optional(context_.answer_by.load()) : std::nullopt;
+    };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
     hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -118,10 +118,19 @@
     co_return co_await attempt_all(head, body, answer, state);
 }
 
+// A request that waits in a queue when its node is killed gets no answer at all.
+void ingress::limit_deadline(request_head& head) const {
+    const std::optional<steady_time> last = hooks_.answer_by ? hooks_.answer_by() : std::nullopt;
+    if (last) {
+        head.deadline = std::min(head.deadline, *last);
+    }
+}
+
 awaitable<exchange_result> ingress::attempt_all(request_head& head, replayable_body& body,
                                                 held_answer& answer, progress& state) {
     std::optional<exchange_result> last;
     while (true) {
+        limit_deadline(head);
         if (clock_.now() >= head.deadline) {
             co_return last
                 ? std::move(*last)
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -77,6 +77,8 @@
 struct ingress_hooks {
     /// Empty when the node can route; otherwise the refusal of every request. Null when it always can.
     std::function<refusal()> check_ready = nullptr;
+    /// The time by which a stopping node must have answered; empty while it runs. Null when it never stops.
+    std::function<std::optional<steady_time>()> answer_by = nullptr;
     std::function<std::optional<route_decision>(const request_head&)> find_route;
     std::function<refusal(const request_head&)> admit;  ///< Account limits, quarantine, draining.
     std::function<choice_or_refusal<route_choice>(const request_head&, std::span<const std::string> tried)>
@@ -124,6 +126,7 @@
                                            progress& state);
     awaitable<exchange_result> attempt_one(const route_choice& choice, const request_head& head,
                                            replayable_body& body, held_answer& answer, progress& state);
+    void limit_deadline(request_head& head) const;
     awaitable<exchange_result> deliver(held_answer& answer, exchange_result result);
     [[nodiscard]] bool may_try_again(const request_head& head, const exchange_result& result,
                                      const replayable_body& body, const held_answer& answer,
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -76,6 +76,23 @@
     }
 };
 
+/// Time that an attempt is given, by the time that the node still has.
+struct stop_case {
+    std::string name;
+    std::optional<std::chrono::milliseconds> node_time;  ///< Empty while the node is not stopping.
+    std::chrono::milliseconds attempt_time;
+};
+
+std::ostream& operator<<(std::ostream& out, const stop_case& value) {
+    return out << value.name;
+}
+
+const std::vector<stop_case> stop_cases{
+    {"running node", std::nullopt, 100ms},
+    {"stopping node with time", 1000ms, 100ms},
+    {"node that stops before the route's timeout", 30ms, 30ms},
+};
+
 request_head caller_request(const manual_time_source& clock) {
     request_head head;
     head.method = "POST";
@@ -127,6 +144,28 @@
 
 BOOST_AUTO_TEST_SUITE(ingress_exchange)
 
+// Guards against a request that still waits in a queue when its stopping node is killed, and gets no answer.
+BOOST_DATA_TEST_CASE(stopping_node_limits_the_time, boost::unit_test::data::make(stop_cases), row) {
+    scripted_fleet fleet;
+    ingress_hooks hooks = fleet.hooks();
+    const steady_time start = fleet.clock.now();
+    hooks.answer_by = [&]() -> std::optional<steady_time> {
+        return row.node_time ? std::optional<steady_time>(start + *row.node_time) : std::nullopt;
+    };
+    std::vector<steady_time> deadlines;
+    hooks.dispatch = [&](const route_choice& choice, const request_head& head, body_reader& body,
+                         response_writer& writer) {
+        deadlines.push_back(head.deadline);
+        return fleet.answer(choice, head, body, writer);
+    };
+    ingress entry(fleet.clock, {}, hooks);
+    text_body body("x");
+    kept_answer answer;
+    run_to_end(entry.exchange(caller_request(fleet.clock), body, answer));
+    BOOST_TEST(deadlines.size() == 1U);
+    BOOST_TEST((deadlines.at(0) == start + row.attempt_time));
+}
+
 // Guards against a second run of an unsafe request and against giving up on a provably safe retry.
 BOOST_DATA_TEST_CASE(retries_need_proof, boost::unit_test::data::make(retry_cases), sample) {
     scripted_fleet fleet;
--- /dev/null
+++ b/tests/servers/routing/suspect_targets_test.cpp
@@ -0,0 +1,75 @@
+// Pattern: a target fails its work at once, so it looks idle, and every ingress would send it more.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/routing/target_chooser.h"
+
+namespace teaselpitch {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct suspect_case {
+    const char* name;
+    std::vector<std::string> suspects;
+    std::chrono::milliseconds age;  ///< Time since their reports.
+    std::set<std::string> chosen;
+    bool suspect;  ///< The choice says that only suspects are left.
+};
+
+std::ostream& operator<<(std::ostream& out, const suspect_case& value) {
+    return out << value.name;
+}
+
+const std::vector<suspect_case> suspect_cases{
+    {"no report", {}, 0ms, {"a", "b", "c"}, false},
+    {"one suspect is left out", {"b"}, 0ms, {"a", "c"}, false},
+    {"two suspects are left out", {"a", "b"}, 0ms, {"c"}, false},
+    {"all are suspect", {"a", "b", "c"}, 0ms, {"a", "b", "c"}, true},
+    {"suspicion ends by itself", {"b"}, 800ms, {"a", "b", "c"}, false},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(suspect_targets)
+
+// Guards against work for a target that fails it while others work, and against a refusal when none other is
+// left.
+BOOST_DATA_TEST_CASE(suspects_come_last, boost::unit_test::data::make(suspect_cases), row) {
+    manual_time_source clock;
+    target_chooser chooser(clock, {.own_zone = "z", .warm_up = 0ms}, 7);
+    std::vector<choosable_target> targets;
+    for (const char* name : {"a", "b", "c"}) {
+        targets.push_back({.identity = {name, 1},
+                           .node = std::string("n-") + name,
+                           .zone = "z",
+                           .slots = 4,
+                           .ready_since = clock.now() - 1h});
+    }
+    chooser.update(targets, {});
+    for (const std::string& name : row.suspects) {
+        load_report report;
+        report.target = name;
+        report.slots = 4;
+        report.suspect = true;
+        chooser.on_load(report);
+    }
+    clock.advance(row.age);
+    std::set<std::string> chosen;
+    for (int i = 0; i < 200; ++i) {
+        const choice made = chooser.choose({});
+        BOOST_REQUIRE(made.target.has_value());
+        BOOST_TEST(made.suspect == row.suspect);
+        chosen.insert(made.target->target().name);
+    }
+    BOOST_TEST(chosen == row.chosen, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace teaselpitch
