--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -43,6 +43,13 @@
     return {status.message().data(), status.message().size()};
 }
 
+/// What the caller is told when the handler wrote no head.
+exchange_result failure_of(const exchange_result& result) {
+    return result.error == error_kind::none
+               ? failed_exchange(error_kind::internal, "the handler gave no answer")
+               : result;
+}
+
 /// The body of a request without one.
 class empty_body final : public body_reader {
 public:
@@ -274,10 +281,7 @@
     } else if (writer.started()) {
         writer.abort();
     } else {
-        exchange_result failure = result;
-        if (failure.error == error_kind::none) {
-            failure = failed_exchange(error_kind::internal, "the handler gave no answer");
-        }
+        const exchange_result failure = failure_of(result);
         const bool keep = request.terms.keep_alive && !context_->draining;
         open = co_await send_error(failure, request.head, request.terms, !keep) && keep;
     }
@@ -413,10 +417,7 @@
         // An answer that promised to keep the connection is kept to, also when a drain has started since.
         co_return writer.keep_alive() && co_await body.discard_rest(discard_limit);
     }
-    exchange_result failure = result;
-    if (failure.error == error_kind::none) {
-        failure = failed_exchange(error_kind::internal, "the handler gave no answer");
-    }
+    const exchange_result failure = failure_of(result);
     // The answer goes out before the rest of the body is read: the caller may wait for it.
     const bool open = terms_.keep_alive && !context_->draining && body.can_discard_rest(discard_limit);
     const bool sent = co_await send_error(failure, head, terms_, !open);
--- a/drivers/settings/settings_file.cpp
+++ b/drivers/settings/settings_file.cpp
@@ -3,13 +3,20 @@
 #include <system_error>
 #include <utility>
 
+#include "core/event_log.h"
+
 namespace teaselpitch {
 
 settings_file::settings_file(std::string path) : path_(std::move(path)) {}
 
 settings_result settings_file::load() {
     seen_ = examine();
-    return load_node_settings(path_);
+    settings_result result = load_node_settings(path_);
+    for (const settings_fault& fault : result.faults) {
+        log_event(event_level::error, "invalid_settings",
+                  {{"file", path_}, {"key", fault.key_path}, {"reason", fault.reason}});
+    }
+    return result;
 }
 
 bool settings_file::changed() const {
--- a/drivers/settings/settings_file.h
+++ b/drivers/settings/settings_file.h
@@ -12,7 +12,7 @@
 public:
     explicit settings_file(std::string path);
 
-    /// Reads the file and remembers its state.
+    /// Reads the file, remembers its state, and leaves one line for each fault.
     settings_result load();
 
     /// True when the file differs from what load() saw; a file that cannot be examined counts as unchanged.
--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -23,10 +23,6 @@
 int run_node(const arguments& given) {
     settings_file file(given.settings_path);
     const settings_result loaded = file.load();
-    for (const settings_fault& fault : loaded.faults) {
-        log_event(event_level::error, "invalid_settings",
-                  {{"file", given.settings_path}, {"key", fault.key_path}, {"reason", fault.reason}});
-    }
     if (!loaded.faults.empty()) {
         return status_bad_settings;
     }
--- a/modules/node/admin_api.cpp
+++ b/modules/node/admin_api.cpp
@@ -157,8 +157,8 @@
     if (!platform_.is_readiness_question(request)) {
         co_return error_response(status_not_found, "unknown path");
     }
-    co_return json_response(json::object{{"ready", control_.ready()}},
-                            control_.ready() ? 200 : status_unavailable);
+    const bool ready = control_.ready();
+    co_return json_response(json::object{{"ready", ready}}, ready ? 200 : status_unavailable);
 }
 
 admin_response admin_api::announce(const admin_request& request) {
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -126,10 +126,6 @@
 
 void node::reload_settings(std::string_view reason) {
     const settings_result loaded = file_.load();
-    for (const settings_fault& fault : loaded.faults) {
-        log_event(event_level::error, "invalid_settings",
-                  {{"file", file_.path()}, {"key", fault.key_path}, {"reason", fault.reason}});
-    }
     if (!loaded.faults.empty()) {
         log_event(event_level::error, "reload_refused",
                   {{"file", file_.path()}, {"faults", loaded.faults.size()}});
--- a/modules/node/node_platform.h
+++ b/modules/node/node_platform.h
@@ -3,12 +3,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "absl/status/statusor.h"
 #include "drivers/http/admin_server.h"
-#include "drivers/http/http_call.h"
 #include "modules/node/configuration.h"
 #include "modules/node/target_keeper.h"
 #include "servers/exchange/http_dialect.h"
@@ -30,10 +28,6 @@
     std::function<std::optional<absl::StatusOr<target_call>>(const admin_request&)> read_target_call =
         nullptr;
     std::function<bool(const admin_request&)> is_readiness_question = nullptr;
-    /// Reads what a target says about itself when it is asked for its health; empty when it is not well.
-    std::function<std::optional<announcement>(const http_reply&, const std::string& service,
-                                              const endpoint& address)>
-        read_health_answer = nullptr;
 };
 
 }  // namespace teaselpitch
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -65,7 +65,7 @@
     return decision;
 }
 
-refusal request_router::admit(const request_head& head) const {
+refusal request_router::admit(const request_head& head) {
     if (const auto router = context_.services.find(head.service)) {
         router->retries().on_request();
     }
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -16,9 +16,10 @@
     // Queries.
     [[nodiscard]] refusal check_ready() const;
     [[nodiscard]] std::optional<route_decision> find_route(const request_head& head) const;
-    [[nodiscard]] refusal admit(const request_head& head) const;
 
     // Commands.
+    /// Counts the request for the retry budget and decides whether it is taken.
+    refusal admit(const request_head& head);
     choice_or_refusal<route_choice> choose(const request_head& head, std::span<const std::string> tried);
     bool may_retry(const request_head& head, const exchange_result& result, std::uint32_t attempts);
     void attempt_ended(const attempt_report& report);
