Let the gates keep the fleet's budget of repeats

Cause: the budget was divided among the sending nodes with half of the fixed part and 0.6 of the share unused. Ruled out: the attempts of the routes (no request had used them up) and missing targets. Change: each gate counts the first arrivals at its own target and admits repeats as a share of them, plus its part of the fixed number; a call of a repeated run counts as far as repeats are among the runs there. The budget of the retry policy is the product's own again, without a fleet.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 29> answers{{
+constexpr std::array<error_answer, 30> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
@@ -68,6 +68,8 @@
      "Another target answers at the address of the chosen one."},
     {error_kind::target_refused, "target_refused", 503, not_run, retry_advice::now, 0s,
      "The target refused the request without running it."},
+    {error_kind::repeat_limited, "repeat_limited", 503, not_run, retry_advice::now, 1s,
+     "The fleet's budget of repeated requests is used up at the target."},
     {error_kind::internal, "internal", 500, unknown, retry_advice::idempotent, 0s,
      "The node met an internal error."},
 }};
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -45,6 +45,7 @@
     target_suspect,
     wrong_target,
     target_refused,
+    repeat_limited,
     internal,
 };
 
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -101,6 +101,8 @@
     message.set_work_class(head.work_class);
     message.set_last_resort(head.last_resort);
     message.set_no_queue(!head.may_queue);
+    message.set_repeat(head.repeat);
+    message.set_inherited_repeat(head.inherited_repeat);
     return to_field(message);
 }
 
@@ -141,6 +143,8 @@
     head.work_class = message->work_class();
     head.last_resort = message->last_resort();
     head.may_queue = !message->no_queue();
+    head.repeat = message->repeat();
+    head.inherited_repeat = message->inherited_repeat();
     return head;
 }
 
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -135,6 +135,7 @@
     context_.targets.quarantine().on_tick();
     context_.paths.on_tick();
     fleet_.renew_targets();
+    share_repeat_budgets();
     for (outgoing_digest& message : health_.on_second()) {
         spawn(send_digest(std::move(message)), "digest");
     }
@@ -147,6 +148,16 @@
     nodes_changed_ = true;
 }
 
+void control_plane::share_repeat_budgets() {
+    std::set<std::string> services;
+    for (const auto& target : context_.targets.all()) {
+        services.insert(target->guarded().service());
+    }
+    for (const std::string& service : services) {
+        context_.targets.on_service_size(service, fleet_.targets_of(service).size());
+    }
+}
+
 void control_plane::tick_log() {
     const auto fresh = follower_.last_fresh_read();
     if (fresh) {
@@ -303,9 +314,6 @@
     // Nodes that left on purpose do not count as cut off.
     context_.accounts.on_nodes(std::move(names), fleet_.possible_node_count());
     context_.metrics.set_known(directory.size(), fleet_.target_count());
-    for (const auto& [service, router] : *context_.services.all()) {
-        router->retries().set_nodes(directory.size());
-    }
     context_.nodes.update(std::make_shared<const node_directory>(std::move(directory)));
 }
 
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -90,6 +90,8 @@
     /// Asks a node that serves a later version for its configuration.
     void fetch_later_configuration();
     awaitable<void> fetch_configuration_from(endpoint peer);
+    /// Tells the guarded targets how many share the budget of repeats of their service.
+    void share_repeat_budgets();
     void tick_log();
     void make_feed(const node_platform& platform);
 
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -27,13 +27,7 @@
     std::set<std::string> services;
     rows->services().for_each([&services](const service_row& row) { services.insert(row.service); });
     for (const std::string& service : services) {
-        service_rules rules = routing->rules_of(service);
-        if (context_.settings.fleet_retries) {
-            // Leaves room for the calls that repeated runs make again at this service.
-            constexpr double used_part = 0.6;
-            rules.retry_budget_share = used_part * context_.settings.fleet_retries->ratio;
-        }
-        context_.services.router(service).on_rules(rules);
+        context_.services.router(service).on_rules(routing->rules_of(service));
     }
     context_.targets.on_rules();
     log_event(event_level::info, "table_in_force",
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -10,18 +10,22 @@
 retry_options retry_options_of(const node_settings& settings) {
     retry_options options;
     options.floor_per_s = settings.retry_floor_per_s;
-    if (settings.fleet_retries) {
-        const fleet_retry_settings& shared = *settings.fleet_retries;
-        // A run that is a repeat makes its calls again, which count at the called service, and the nodes'
-        // views of their number differ for a while after each change of it.
-        constexpr double used_part = 0.5;
-        options.fleet_floor_per_s =
-            used_part * shared.slack / std::chrono::duration<double>(shared.window).count();
-        options.counts_requests = true;
-    }
     return options;
 }
 
+std::optional<repeat_budget_options> repeat_options_of(const node_settings& settings) {
+    if (!settings.fleet_retries) {
+        return std::nullopt;
+    }
+    // Gates count whole seconds by their own clocks, and a restarted one has forgotten what it granted.
+    constexpr double used_part = 0.85;
+    const fleet_retry_settings& shared = *settings.fleet_retries;
+    return repeat_budget_options{.ratio = used_part * shared.ratio,
+                                 .slack = used_part * shared.slack,
+                                 .window = shared.window,
+                                 .least_targets = 4};
+}
+
 /// Announcements may arrive seconds late, so a target is gone only after several have been missed.
 std::chrono::milliseconds renewal_limit_of(const node_settings& settings) {
     constexpr int missed_heartbeats = 4;
@@ -56,7 +60,7 @@
            .changed = [this](const kept_target_fact& fact) { target_changed(fact); },
            .quarantined = [this](const gate_run& run,
                                  std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
-          decisions, renewal_limit_of(settings)),
+          decisions, renewal_limit_of(settings), repeat_options_of(settings)),
       accounts(clock, self, [this] { return routing.read(); }) {}
 
 }  // namespace teaselpitch
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -109,6 +109,12 @@
     hooks.is_suspect = [this](const request_head& head, const guarded_target& target) {
         return context_.targets.is_suspect(head, target);
     };
+    hooks.may_repeat = [this](const request_head& head, const guarded_target& target) {
+        return context_.targets.may_repeat(head, target);
+    };
+    hooks.count_arrival = [this](const request_head& head, const guarded_target& target) {
+        return context_.targets.count_arrival(head, target);
+    };
     hooks.send = [this](const guarded_target& target, const request_head& head, body_reader& body,
                         response_writer& writer, const write_permission& permission) {
         return send_to_target(target, head, body, writer, permission);
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -61,14 +61,12 @@
     decision.attempts = match->attempts;
     decision.objective = match->objective;
     decision.rank = match->priority;
+    decision.inherited_repeat = context_.targets.share_of_repeats();
     decision.work_class = stable_hash(match->path_prefix, stable_hash(head.host));
     return decision;
 }
 
 refusal request_router::admit(const request_head& head) {
-    if (const auto router = context_.services.find(head.service)) {
-        router->retries().on_request();
-    }
     if (context_.targets.quarantine().is_quarantined(head.fingerprint)) {
         return {error_kind::quarantined, "equal requests crashed several targets", std::nullopt};
     }
@@ -121,7 +119,8 @@
     }
     failed_attempt attempt;
     attempt.error = is_failed_answer(result) ? error_kind::answer_broken : result.error;
-    attempt.reached_target = reached_target(result);
+    // With a budget of the fleet the gate of the next target decides, which sees what arrives there.
+    attempt.reached_target = reached_target(result) && !context_.settings.fleet_retries;
     attempt.execution = result.execution;
     attempt.head_written = result.head_written;
     attempt.non_idempotent = head.non_idempotent;
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -18,7 +18,7 @@
     [[nodiscard]] std::optional<route_decision> find_route(const request_head& head) const;
 
     // Commands.
-    /// Counts the request for the retry budget and decides whether it is taken.
+    /// Decides whether the request is taken.
     refusal admit(const request_head& head);
     choice_or_refusal<route_choice> choose(const request_head& head, std::span<const std::string> tried);
     bool may_retry(const request_head& head, const exchange_result& result, std::uint32_t attempts);
--- a/modules/node/target_keeper.cpp
+++ b/modules/node/target_keeper.cpp
@@ -101,17 +101,36 @@
 }
 
 kept_target::kept_target(const time_source& clock, const announcement& first,
-                         const admission_options& admission, const judge_options& judging)
+                         const admission_options& admission, const judge_options& judging,
+                         const std::optional<repeat_budget_options>& repeats)
     : guarded_(clock, first.identity, first.service, first.address, admission),
       judge_(clock, first.identity.name, judging),
-      failures_(clock, failure_filter_options{}) {}
+      failures_(clock, failure_filter_options{}) {
+    if (repeats) {
+        repeats_.emplace(clock, *repeats);
+    }
+}
+
+void kept_target::count_run(bool started, bool repeat) {
+    const std::int32_t step = started ? 1 : -1;
+    runs_.fetch_add(step, std::memory_order_relaxed);
+    repeated_runs_.fetch_add(repeat ? step : 0, std::memory_order_relaxed);
+}
+
+double kept_target::share_of_repeats() const {
+    const std::int32_t runs = runs_.load(std::memory_order_relaxed);
+    const std::int32_t repeated = repeated_runs_.load(std::memory_order_relaxed);
+    return runs <= 0 ? 0.0 : std::clamp(static_cast<double>(repeated) / runs, 0.0, 1.0);
+}
 
 target_keeper::target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions,
-                             std::chrono::milliseconds renewal_limit)
+                             std::chrono::milliseconds renewal_limit,
+                             std::optional<repeat_budget_options> repeats)
     : clock_(clock),
       hooks_(std::move(hooks)),
       decisions_(decisions),
       renewal_limit_(renewal_limit),
+      repeats_(repeats),
       quarantine_(clock, quarantine_options{}),
       targets_(std::make_shared<const target_map>()) {}
 
@@ -202,8 +221,8 @@
     admission_options admission;
     admission.slots = message.slots;
     admission.max_wait = rules.max_wait;
-    auto target =
-        std::make_shared<kept_target>(clock_, message, admission, options_for(rules.policy, message.slots));
+    auto target = std::make_shared<kept_target>(clock_, message, admission,
+                                                options_for(rules.policy, message.slots), repeats_);
     if (message.state == target_lifecycle::leaving || leaving_) {
         target->guarded().set_leaving();
     }
@@ -249,6 +268,14 @@
     hooks_.changed(fact_of(entry, false));
 }
 
+void target_keeper::on_service_size(std::string_view service, std::size_t targets) {
+    for (auto& [name, entry] : entries_) {
+        if (entry.latest.service == service && entry.target->repeats() != nullptr) {
+            entry.target->repeats()->set_targets(targets);
+        }
+    }
+}
+
 void target_keeper::on_rules() {
     for (auto& [name, entry] : entries_) {
         entry.target->guarded().set_max_wait(hooks_.admission_of(entry.latest.service).max_wait);
@@ -313,14 +340,43 @@
     return !kept->failures().try_take(head.non_idempotent);
 }
 
+bool target_keeper::may_repeat(const request_head& head, const guarded_target& target) const {
+    const auto kept = find(target.identity().name);
+    return !kept || kept->repeats() == nullptr || kept->repeats()->has_room(head.rank);
+}
+
+bool target_keeper::count_arrival(const request_head& head, const guarded_target& target) {
+    const auto kept = find(target.identity().name);
+    if (!kept || kept->repeats() == nullptr) {
+        return true;
+    }
+    if (head.repeat) {
+        return kept->repeats()->try_take(head.rank);
+    }
+    kept->repeats()->on_first_arrival(head.inherited_repeat);
+    return true;
+}
+
+double target_keeper::share_of_repeats() const {
+    double largest = 0;
+    for (const auto& [name, target] : *targets_.read()) {
+        largest = std::max(largest, target->share_of_repeats());
+    }
+    return largest;
+}
+
 void target_keeper::on_run_started(const gate_run& run) {
     if (const auto target = find(run.target.identity().name)) {
+        target->count_run(true, run.head.repeat);
         target->judge().on_start(run.ticket);
     }
 }
 
 void target_keeper::on_run_ended(const gate_run_end& end) {
     const auto target = find(end.run.target.identity().name);
+    if (target && &target->guarded() == &end.run.target) {
+        target->count_run(false, end.run.head.repeat);
+    }
     if (target && target->guarded().identity() == end.run.target.identity()) {
         if (end.result.error == error_kind::none) {
             target->set_answered(clock_.now());
--- a/modules/node/target_keeper.h
+++ b/modules/node/target_keeper.h
@@ -18,6 +18,7 @@
 #include "core/rcu_cell.h"
 #include "modules/proxy/gate.h"
 #include "modules/proxy/guarded_target.h"
+#include "servers/admission/repeat_budget.h"
 #include "servers/health/crash_quarantine.h"
 #include "servers/health/failure_filter.h"
 #include "servers/health/target_judge.h"
@@ -57,21 +58,29 @@
 class kept_target {
 public:
     kept_target(const time_source& clock, const announcement& first, const admission_options& admission,
-                const judge_options& judging);
+                const judge_options& judging, const std::optional<repeat_budget_options>& repeats);
 
     guarded_target& guarded() { return guarded_; }
     target_judge& judge() { return judge_; }
     failure_filter& failures() { return failures_; }
+    /// Null when repeats are not limited at the gates.
+    repeat_budget* repeats() { return repeats_ ? &*repeats_ : nullptr; }
+    void count_run(bool started, bool repeat);
     void set_answered(steady_time now) { answered_at_.store(now, std::memory_order_relaxed); }
     [[nodiscard]] steady_time answered_at() const { return answered_at_.load(std::memory_order_relaxed); }
 
     [[nodiscard]] const guarded_target& guarded() const { return guarded_; }
     [[nodiscard]] const target_judge& judge() const { return judge_; }
+    /// Repeats among the runs now, 0 to 1.
+    [[nodiscard]] double share_of_repeats() const;
 
 private:
     guarded_target guarded_;
     target_judge judge_;
     failure_filter failures_;
+    std::optional<repeat_budget> repeats_;
+    std::atomic<std::int32_t> runs_{0};
+    std::atomic<std::int32_t> repeated_runs_{0};
     std::atomic<steady_time> answered_at_{steady_time{}};
 };
 
@@ -106,12 +115,15 @@
     static constexpr std::chrono::milliseconds usual_renewal_limit{3'000};
 
     target_keeper(const time_source& clock, target_keeper_hooks hooks, decision_log& decisions,
-                  std::chrono::milliseconds renewal_limit = usual_renewal_limit);
+                  std::chrono::milliseconds renewal_limit = usual_renewal_limit,
+                  std::optional<repeat_budget_options> repeats = std::nullopt);
 
     // Commands for the control thread.
     absl::Status on_announcement(const announcement& message);
     /// The target takes no new work from now on.
     void on_departure(const target_departure& message);
+    /// Takes the number of targets that share a service's budget of repeats.
+    void on_service_size(std::string_view service, std::size_t targets);
     /// Applies the table's settings to all targets.
     void on_rules();
     /// Removes targets that stopped renewing.
@@ -124,11 +136,17 @@
     void on_judge_tick();
     /// True when the target failed its latest work, so that the request should go to another one.
     bool is_suspect(const request_head& head, const guarded_target& target);
+    /// Counts a request that is about to be sent; false when it is a repeat beyond the budget.
+    bool count_arrival(const request_head& head, const guarded_target& target);
     void on_run_started(const gate_run& run);
     void on_run_ended(const gate_run_end& end);
     crash_quarantine& quarantine() { return quarantine_; }
 
     // Queries for any thread.
+    /// True when the budget has room for a repeat of the request at the target.
+    [[nodiscard]] bool may_repeat(const request_head& head, const guarded_target& target) const;
+    /// Repeats among the runs of all targets here, 0 to 1: the chance that a call from here is part of one.
+    [[nodiscard]] double share_of_repeats() const;
     [[nodiscard]] std::shared_ptr<kept_target> find(std::string_view name) const;
     [[nodiscard]] std::vector<std::shared_ptr<kept_target>> all() const;
     /// The ready target of a service with the least load; null when there is none.
@@ -155,6 +173,7 @@
     const target_keeper_hooks hooks_;
     decision_log& decisions_;
     const std::chrono::milliseconds renewal_limit_;
+    const std::optional<repeat_budget_options> repeats_;
     crash_quarantine quarantine_;
     rcu_cell<target_map> targets_;
     mutable std::mutex mutex_;
--- a/modules/proxy/gate.cpp
+++ b/modules/proxy/gate.cpp
@@ -8,6 +8,8 @@
 namespace teaselpitch {
 namespace {
 
+constexpr std::string_view repeat_reason = "the budget of repeats is used up at this target";
+
 /// Gives a slot back on every way out, also when the exchange is cancelled.
 class slot_guard {
 public:
@@ -58,6 +60,10 @@
         co_return refuse(head, target.get(), error_kind::target_suspect, "the target failed its latest work",
                          std::chrono::milliseconds{0});
     }
+    if (head.repeat && hooks_.may_repeat && !hooks_.may_repeat(head, *target)) {
+        co_return refuse(head, target.get(), error_kind::repeat_limited, repeat_reason,
+                         std::chrono::milliseconds{0});
+    }
     co_return co_await admit_and_run(target, head, body, writer, permission);
 }
 
@@ -97,6 +103,10 @@
         co_return refuse(started.head, &started.target, error_kind::deadline_expired,
                          "the deadline passed in the queue", std::chrono::milliseconds{0});
     }
+    if (hooks_.count_arrival && !hooks_.count_arrival(started.head, started.target)) {
+        co_return refuse(started.head, &started.target, error_kind::repeat_limited, repeat_reason,
+                         std::chrono::milliseconds{0});
+    }
     answer_observer observer(writer, clock_);
     hooks_.run_started(started);
     exchange_result result;
--- a/modules/proxy/gate.h
+++ b/modules/proxy/gate.h
@@ -39,6 +39,11 @@
     /// True when the request should go to another target, because this one failed its latest work; null
     /// never.
     std::function<bool(const request_head&, const guarded_target&)> is_suspect = nullptr;
+    /// True when the budget has room for the repeated request; null when repeats are not limited here.
+    std::function<bool(const request_head&, const guarded_target&)> may_repeat = nullptr;
+    /// Counts a request that is about to be sent; false when it is a repeat and the budget is used up. Null
+    /// when repeats are not limited here.
+    std::function<bool(const request_head&, const guarded_target&)> count_arrival = nullptr;
     std::function<awaitable<exchange_result>(const guarded_target&, const request_head&, body_reader&,
                                              response_writer&, const write_permission&)>
         send;
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -95,6 +95,7 @@
     head.non_idempotent = route->non_idempotent;
     head.rank = route->rank;
     head.work_class = route->work_class;
+    head.inherited_repeat = route->inherited_repeat;
     const steady_time arrival = clock_.now();
     const auto timeout = route->timeout.count() > 0 ? route->timeout : options_.default_timeout;
     head.deadline = std::min(head.deadline, arrival + timeout);
@@ -161,6 +162,7 @@
                                                 replayable_body& body, held_answer& answer, progress& state) {
     request_head attempt = head;
     attempt.target = choice.target;
+    attempt.repeat = state.reached_target;
     attempt.last_resort = attempt.last_resort || choice.suspect;
     const steady_time start = clock_.now();
     exchange_result result = co_await hooks_.dispatch(choice, attempt, body, answer);
@@ -168,6 +170,7 @@
     // An answer that is still held can be replaced.
     result.head_written = result.head_written && !answer.nothing_sent();
     state.sends += result.execution == execution_state::not_run ? 0 : 1;
+    state.reached_target = state.reached_target || reached_target(result);
     state.search.on_attempt(choice.target.name, result);
     state.attempts.push_back(describe_attempt(choice, result));
     hooks_.attempt_ended(
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -40,6 +40,7 @@
     std::chrono::milliseconds objective{0};  ///< Latency above which the answer is late; 0 for none.
     std::uint32_t rank = 0;                  ///< Requests with a lower rank go first.
     std::uint64_t work_class = 0;            ///< Hash of the route.
+    double inherited_repeat = 0;  ///< Chance that a repeated run on this instance called for the request.
 };
 
 /// A failed choice or admission.
@@ -118,6 +119,7 @@
         std::vector<std::string> attempts{};  ///< One line for each attempt.
         std::uint32_t sends = 0;              ///< Attempts that ran at a target or may have.
         std::uint32_t allowed_sends = 3;
+        bool reached_target = false;  ///< A target got the request, if only to refuse it.
     };
 
     awaitable<exchange_result> serve(request_head& head, replayable_body& body, held_answer& answer,
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -57,6 +57,11 @@
     /// The gate may queue the request; otherwise it refuses at once when no slot is free.
     bool may_queue = true;
 
+    /// A target got the request before, so that this send draws on the fleet's budget of repeats.
+    bool repeat = false;
+    /// Chance that a repeated run of another service called for this request, 0 to 1.
+    double inherited_repeat = 0;
+
     target_identity target;     ///< The chosen target; empty at the ingress and for keyed requests.
     std::uint32_t detours = 0;  ///< Nodes between the ingress and the gate; at most one.
 };
--- a/servers/routing/retry_policy.cpp
+++ b/servers/routing/retry_policy.cpp
@@ -28,20 +28,9 @@
 retry_policy::retry_policy(const time_source& clock, retry_options options)
     : clock_(clock), options_(options) {}
 
-void retry_policy::on_request() {
-    const std::lock_guard lock(mutex_);
-    current_count().earning += options_.counts_requests ? 1 : 0;
-}
-
 void retry_policy::on_success() {
     const std::lock_guard lock(mutex_);
-    current_count().earning += options_.counts_requests ? 0 : 1;
-}
-
-void retry_policy::set_nodes(std::size_t nodes) {
-    const std::lock_guard lock(mutex_);
-    // A partition or a restart makes nodes seem fewer; the others still spend their parts.
-    nodes_ = std::max(nodes_, nodes);
+    ++current_count().successes;
 }
 
 retry_decision retry_policy::on_failure(const failed_attempt& attempt) {
@@ -107,14 +96,10 @@
 
 double retry_policy::budget_locked() const {
     const std::int64_t oldest = current_second() - static_cast<std::int64_t>(window_seconds) + 1;
-    const bool shared = options_.fleet_floor_per_s > 0;
-    const double floor_per_s =
-        shared ? options_.fleet_floor_per_s / static_cast<double>(std::max(nodes_, options_.least_nodes))
-               : options_.floor_per_s;
-    double budget = floor_per_s * static_cast<double>(window_seconds);
+    double budget = options_.floor_per_s * static_cast<double>(window_seconds);
     for (const second_count& count : counts_) {
         if (count.second >= oldest) {
-            budget += options_.budget_share * static_cast<double>(count.earning);
+            budget += options_.budget_share * static_cast<double>(count.successes);
             budget -= static_cast<double>(count.retries);
         }
     }
--- a/servers/routing/retry_policy.h
+++ b/servers/routing/retry_policy.h
@@ -15,12 +15,6 @@
 struct retry_options {
     double budget_share = 0.10;  ///< Retries per recent success; column retry_budget_pct of the table.
     double floor_per_s = 1.0;    ///< Retries per second that are allowed without any success.
-    /// Retries per second that all nodes together may send without any success; each takes an equal part of
-    /// it, in place of floor_per_s. 0 when each node has a floor of its own.
-    double fleet_floor_per_s = 0;
-    /// Nodes among which the fleet's floor is divided at least, for a node that knows few others.
-    std::size_t least_nodes = 16;
-    bool counts_requests = false;  ///< The share is of the requests taken in; otherwise of the successes.
     std::uint32_t max_attempts = 3;
     std::size_t replay_limit = 64 * 1024;  ///< Bytes of the request body that the ingress keeps.
 };
@@ -63,12 +57,8 @@
 public:
     retry_policy(const time_source& clock, retry_options options);
 
-    /// Counts a request that was taken in.
-    void on_request();
     /// Counts an exchange that ended with a whole answer.
     void on_success();
-    /// Takes the number of nodes that share the fleet's floor.
-    void set_nodes(std::size_t nodes);
 
     /// Decides about one failed attempt; a granted retry is taken from the budget.
     retry_decision on_failure(const failed_attempt& attempt);
@@ -82,7 +72,7 @@
 private:
     struct second_count {
         std::int64_t second = -1;
-        std::uint64_t earning = 0;  ///< Requests or successes, whichever the share is of.
+        std::uint64_t successes = 0;
         std::uint64_t retries = 0;
     };
     static constexpr std::size_t window_seconds = 10;
@@ -96,7 +86,6 @@
     mutable std::mutex mutex_;
     retry_options options_;
     std::array<second_count, window_seconds> counts_;
-    std::size_t nodes_ = 1;
 };
 
 }  // namespace teaselpitch
--- a/tests/modules/proxy/gate_test.cpp
+++ b/tests/modules/proxy/gate_test.cpp
@@ -26,6 +26,9 @@
         clock, target_identity{"t1", 1}, "limits", endpoint{"127.0.0.1", 1},
         admission_options{.slots = 1, .max_queued = 1, .max_wait = 200ms, .initial_service_time = 10ms});
     bool quarantined = false;
+    bool room_for_repeats = true;       ///< When a request is offered.
+    bool repeats_left_at_start = true;  ///< When its run begins.
+    std::size_t arrivals = 0;
     std::vector<std::string> started;
     std::vector<error_kind> refusals;
     waiter_table<bool> run_ends;
@@ -36,6 +39,12 @@
             return name == "t1" ? target : std::shared_ptr<guarded_target>();
         };
         result.is_quarantined = [this](const request_head&) { return quarantined; };
+        result.may_repeat = [this](const request_head&, const guarded_target&) { return room_for_repeats; };
+        result.count_arrival = [this](const request_head& head, const guarded_target&) {
+            const bool counted = !head.repeat || repeats_left_at_start;
+            arrivals += counted ? 1 : 0;
+            return counted;
+        };
         result.send = [this](const guarded_target&, const request_head& head, body_reader&,
                              response_writer& writer,
                              const write_permission& permission) { return send(head, writer, permission); };
@@ -123,6 +132,18 @@
      error_kind::target_leaving},
     {"expired", [](guarded_fixture& fixture, request_head& head) { head.deadline = fixture.clock.now(); },
      error_kind::deadline_expired},
+    {"repeat without budget",
+     [](guarded_fixture& fixture, request_head& head) {
+         head.repeat = true;
+         fixture.room_for_repeats = false;
+     },
+     error_kind::repeat_limited},
+    {"repeat whose budget is gone when it starts",
+     [](guarded_fixture& fixture, request_head& head) {
+         head.repeat = true;
+         fixture.repeats_left_at_start = false;
+     },
+     error_kind::repeat_limited},
 };
 
 }  // namespace
@@ -139,9 +160,28 @@
     BOOST_TEST(answer_of(exchange.result->error).name == answer_of(sample.expected).name);
     BOOST_TEST((exchange.result->execution == execution_state::not_run));
     BOOST_TEST(fixture.started.empty());
+    BOOST_TEST(fixture.arrivals == 0U);
+    BOOST_TEST(fixture.target->load().running == 0U);
     BOOST_TEST(fixture.refusals.size() == 1U);
 }
 
+// Guards against a budget of repeats that is charged for requests which no target saw, and against first
+// sends that it refuses.
+BOOST_AUTO_TEST_CASE(only_what_starts_counts_as_an_arrival) {
+    guarded_fixture fixture;
+    fixture.room_for_repeats = false;
+    fixture.repeats_left_at_start = false;
+    running_exchange first(fixture, fixture.head(1));
+    running_exchange queued(fixture, fixture.head(2));
+    running_exchange refused(fixture, fixture.head(3));
+    BOOST_TEST(fixture.arrivals == 1U);
+    queued.cancel.emit(boost::asio::cancellation_type::terminal);
+    fixture.run_ends.notify(1, true);
+    poll(fixture);
+    BOOST_TEST(first.answer.finished());
+    BOOST_TEST(fixture.arrivals == 1U);
+}
+
 // Guards against a queued request that is never woken, and against more runs than slots.
 BOOST_AUTO_TEST_CASE(queued_request_runs_after_the_first) {
     guarded_fixture fixture;
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -140,10 +140,51 @@
      3},
 };
 
+/// Which attempts are marked as repeats: those after one that reached a target.
+struct repeat_case {
+    std::string name;
+    std::vector<error_kind> script;
+    std::vector<bool> marked;
+};
+
+std::ostream& operator<<(std::ostream& out, const repeat_case& value) {
+    return out << value.name;
+}
+
+const std::vector<repeat_case> repeat_cases{
+    {"first send", {}, {false}},
+    {"after a gate's refusal", {error_kind::overloaded}, {false, false}},
+    {"after an unreachable node", {error_kind::peer_unreachable}, {false, false}},
+    {"after a target's refusal", {error_kind::target_refused}, {false, true}},
+    {"after an unknown outcome", {error_kind::outcome_unknown}, {false, true}},
+    {"a gate's refusal in between",
+     {error_kind::target_refused, error_kind::repeat_limited},
+     {false, true, true}},
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ingress_exchange)
 
+// Guards against repeats that escape the fleet's budget, and against first sends that are charged to it.
+BOOST_DATA_TEST_CASE(sends_after_an_arrival_are_repeats, boost::unit_test::data::make(repeat_cases), row) {
+    scripted_fleet fleet;
+    fleet.script = row.script;
+    fleet.non_idempotent = false;
+    ingress_hooks hooks = fleet.hooks();
+    std::vector<bool> marked;
+    hooks.dispatch = [&](const route_choice& choice, const request_head& head, body_reader& body,
+                         response_writer& writer) {
+        marked.push_back(head.repeat);
+        return fleet.answer(choice, head, body, writer);
+    };
+    ingress entry(fleet.clock, {}, hooks);
+    text_body body("x");
+    kept_answer answer;
+    run_to_end(entry.exchange(caller_request(fleet.clock), body, answer));
+    BOOST_TEST(marked == row.marked, boost::test_tools::per_element());
+}
+
 // Guards against a request that still waits in a queue when its stopping node is killed, and gets no answer.
 BOOST_DATA_TEST_CASE(stopping_node_limits_the_time, boost::unit_test::data::make(stop_cases), row) {
     scripted_fleet fleet;
