Answer all requests before a stopping node is killed

The limit of draining applied only to attempts that began after the signal, and the time for the whole drain began a second late, so that it lay beyond the platform's limit. Ruled out: an answer that was cut on its way (the process had read the request and never wrote). Change: the drain ends before the platform's limit, and 0.45 s earlier the node ends what has no answer yet with an answer of its own; ready answers go out in their order. A draining connection says that it closes with its last answer only, because the requests behind may have run.

--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -83,7 +83,8 @@
                          socket_.shutdown(tcp::socket::shutdown_receive, ignored);
                      }),
       write_deadline_(socket_.get_executor(), [this] { reset(); }),
-      overlapped_changed_(socket_.get_executor(), net::steady_timer::time_point::max()) {}
+      overlapped_changed_(socket_.get_executor(), net::steady_timer::time_point::max()),
+      end_requested_(socket_.get_executor(), net::steady_timer::time_point::max()) {}
 
 void caller_connection::close() {
     error_code ignored;
@@ -102,6 +103,17 @@
     }
 }
 
+void caller_connection::end_exchanges() {
+    ending_ = true;
+    end_requested_.cancel();
+    const auto running = overlapped_;
+    for (const auto& request : running) {
+        if (!request->answering) {
+            request->cancel.emit(net::cancellation_type::terminal);
+        }
+    }
+}
+
 awaitable<void> caller_connection::run() {
     const auto self = shared_from_this();
     bool open = true;
@@ -258,14 +270,19 @@
 awaitable<void> caller_connection::run_overlapped(std::shared_ptr<overlapped_request> request) {
     empty_body body;
     caller_writer_settings settings = writer_settings(request->head, request->terms);
-    settings.wait_turn = [this, turn = request->turn] { return wait_turn(turn); };
+    settings.wait_turn = [this, request] {
+        request->answering = true;
+        return wait_turn(request->turn);
+    };
     caller_writer writer(socket_, write_deadline_, settings);
     exchange_result result = failed_exchange(error_kind::cancelled, "the caller went away");
     co_await run_handler(request->head, body, writer, result);
     // From here on closing_ ends the coroutine; a cancelled state would make its end throw in co_spawn.
     co_await net::this_coro::reset_cancellation_state(net::disable_cancellation());
+    request->answering = true;
     if (!closing_) {
-        co_await answer_overlapped(*request, writer, result);
+        const exchange_result truth = ended_or(std::move(result));
+        co_await answer_overlapped(*request, writer, truth);
     }
 }
 
@@ -282,7 +299,7 @@
         writer.abort();
     } else {
         const exchange_result failure = failure_of(result);
-        const bool keep = request.terms.keep_alive && !context_->draining;
+        const bool keep = request.terms.keep_alive && !closes_after_answer();
         open = co_await send_error(failure, request.head, request.terms, !keep) && keep;
     }
     if (!open) {
@@ -342,7 +359,7 @@
     settings.version = terms.version;
     settings.head_only = head.method == "HEAD";
     settings.keep_alive = terms.keep_alive;
-    settings.draining = &context_->draining;
+    settings.closes = [this] { return closes_after_answer(); };
     settings.timeout = context_->options.write_timeout;
     settings.fleet_fields = context_->options.dialect.fleet_fields_on_answers;
     return settings;
@@ -389,9 +406,33 @@
                                                            caller_writer& writer, bool& caller_gone) {
     using namespace net::experimental::awaitable_operators;
     exchange_result result = failed_exchange(error_kind::cancelled, "the caller went away");
-    const auto first = co_await (run_handler(head, body, writer, result) || watch_caller());
+    const auto first =
+        co_await (run_handler(head, body, writer, result) || watch_caller() || wait_end(writer));
     caller_gone = first.index() == 1;
-    co_return result;
+    co_return ended_or(std::move(result));
+}
+
+// A close would also discard the requests behind this one, some of which may have run.
+bool caller_connection::closes_after_answer() const {
+    return context_->draining && overlapped_.size() <= 1;
+}
+
+// Completes when the request must be ended, which it is not while its answer is on the way.
+awaitable<void> caller_connection::wait_end(const caller_writer& writer) {
+    while (!ending_ || writer.started()) {
+        co_await end_requested_.async_wait(tuple_awaitable);
+        const net::cancellation_state state = co_await net::this_coro::cancellation_state;
+        if (state.cancelled() != net::cancellation_type::none) {
+            co_return;
+        }
+    }
+}
+
+exchange_result caller_connection::ended_or(exchange_result result) const {
+    if (ending_ && result.error == error_kind::cancelled) {
+        return failed_exchange(error_kind::target_timeout, "the node stops before the target has answered");
+    }
+    return result;
 }
 
 awaitable<void> caller_connection::watch_caller() {
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -50,6 +50,10 @@
     /// Closes the connection soon when it is idle; one that runs a request closes after its answer.
     void begin_drain();
 
+    /// Ends the requests that have no answer yet with one of the server's own, because the process is about
+    /// to be killed. Answers that are ready go out.
+    void end_exchanges();
+
     /// Closes the socket.
     void close();
 
@@ -72,6 +76,7 @@
         request_head head;
         request_terms terms;
         std::uint64_t turn = 0;  ///< Position of its answer.
+        bool answering = false;  ///< The answer is ready and waits for its turn or is on its way.
         net::cancellation_signal cancel;
     };
 
@@ -98,6 +103,9 @@
     awaitable<void> run_handler(const request_head& head, body_reader& body, caller_writer& writer,
                                 exchange_result& result);
     awaitable<void> watch_caller();
+    awaitable<void> wait_end(const caller_writer& writer);
+    [[nodiscard]] exchange_result ended_or(exchange_result result) const;
+    [[nodiscard]] bool closes_after_answer() const;
     awaitable<bool> finish(const exchange_result& result, const request_head& head, caller_body& body,
                            caller_writer& writer);
     [[nodiscard]] caller_writer_settings writer_settings(const request_head& head,
@@ -114,9 +122,11 @@
     io_deadline write_deadline_;
     request_terms terms_;  ///< Of the request that was read last.
     bool idle_ = false;
+    bool ending_ = false;   ///< Requests without an answer are ended now.
     bool closing_ = false;  ///< The last answer is out or the caller is gone; nothing more is written.
     std::set<std::shared_ptr<overlapped_request>> overlapped_;
     net::steady_timer overlapped_changed_;  ///< Cancelled when an answer is out; it never expires by itself.
+    net::steady_timer end_requested_;       ///< Cancelled by end_exchanges(); it never expires by itself.
     std::uint64_t next_turn_ = 0;
     std::uint64_t answered_ = 0;  ///< Turns whose answers are out.
 };
--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -126,6 +126,13 @@
     return state_->context->open_exchanges.load();
 }
 
+void caller_server::end_exchanges() {
+    const auto open = state_->context->connections;
+    for (const auto& connection : open) {
+        connection->end_exchanges();
+    }
+}
+
 awaitable<void> caller_server::drain() {
     const auto state = state_;
     state->stop_accepting();
--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -61,6 +61,9 @@
     /// completes when all connections are closed.
     boost::asio::awaitable<void> drain();
 
+    /// Ends all requests that have no answer yet with one of the server's own.
+    void end_exchanges();
+
 private:
     struct state;
     std::shared_ptr<state> state_;
--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -37,7 +37,7 @@
     : socket_(socket), deadline_(deadline), settings_(settings) {}
 
 void caller_writer::choose_framing(const response_head& head) {
-    keep_alive_ = settings_.keep_alive && (settings_.draining == nullptr || !*settings_.draining);
+    keep_alive_ = settings_.keep_alive && !(settings_.closes && settings_.closes());
     const bool bodiless = settings_.head_only || !head.has_body || head.status == status_no_content ||
                           head.status == status_not_modified;
     if (bodiless) {
--- a/drivers/http/caller_writer.h
+++ b/drivers/http/caller_writer.h
@@ -20,10 +20,11 @@
 struct caller_writer_settings {
     std::string_view request_id;
     std::string_view node;
-    unsigned version = 11;           ///< HTTP version of the caller, 10 or 11.
-    bool head_only = false;          ///< The request was HEAD.
-    bool keep_alive = true;          ///< The caller allows another request on the connection.
-    const bool* draining = nullptr;  ///< When it points to true, the answer says Connection: close.
+    unsigned version = 11;   ///< HTTP version of the caller, 10 or 11.
+    bool head_only = false;  ///< The request was HEAD.
+    bool keep_alive = true;  ///< The caller allows another request on the connection.
+    /// When it returns true, the answer says Connection: close; null for never.
+    std::function<bool()> closes = nullptr;
     std::chrono::milliseconds timeout{30'000};
     bool fleet_fields = true;  ///< Adds the Teaselpitch-* fields.
     /// Completes when the answers to earlier requests of the connection are out; null when there are none.
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -1,5 +1,6 @@
 #include "modules/node/node.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -159,12 +160,21 @@
 awaitable<void> node::drain() {
     using namespace boost::asio::experimental::awaitable_operators;
     // Leaves time for the answers to reach their callers before the process ends.
-    constexpr std::chrono::milliseconds answer_margin{700};
-    context_.answer_by = context_.clock.now() + settings_.drain_timeout - answer_margin;
+    constexpr std::chrono::milliseconds answer_margin{450};
+    const steady_time start = context_.clock.now();
+    const steady_time end = start + drain_time();
+    const steady_time answer_by = end - answer_margin;
+    context_.answer_by = answer_by;
     context_.draining = true;
     log_event(event_level::info, "drain_started", {{"node", context_.self.name}});
     co_await plane_.announce_drain();
-    boost::asio::steady_timer limit(control_, settings_.drain_timeout);
+    boost::asio::steady_timer limit(control_, end - context_.clock.now());
+    boost::asio::steady_timer last_answers(control_, answer_by - context_.clock.now());
+    last_answers.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            end_exchanges();
+        }
+    });
     const auto all_shards = [this]() -> awaitable<void> {
         for (std::size_t i = 0; i < shard_states_.size(); ++i) {
             co_await drain_shard(i);
@@ -176,6 +186,21 @@
               {{"node", context_.self.name}, {"everything_finished", finished.index() == 0}});
 }
 
+// The platform kills the process at its limit, and connections that are open then get no answer.
+std::chrono::milliseconds node::drain_time() const {
+    constexpr int parts = 12;  // The last one is left for the end of the process.
+    if (!settings_.store) {
+        return settings_.drain_timeout;
+    }
+    return std::min(settings_.drain_timeout, settings_.store->drain_limit / parts * (parts - 1));
+}
+
+void node::end_exchanges() {
+    for (std::size_t i = 0; i < shard_states_.size(); ++i) {
+        boost::asio::post(shards_.context(i), [this, i] { shard_states_[i]->end_exchanges(); });
+    }
+}
+
 awaitable<void> node::drain_shard(std::size_t index) {
     // The shard's objects are used on its own thread only.
     co_await boost::asio::co_spawn(shards_.context(index), shard_states_[index]->drain(),
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -36,6 +36,9 @@
     void reload_settings(std::string_view reason);
     awaitable<void> drain();
     awaitable<void> drain_shard(std::size_t index);
+    /// Time from the signal until the process ends by itself.
+    [[nodiscard]] std::chrono::milliseconds drain_time() const;
+    void end_exchanges();
     void set_caller_limits(const caller_limits& limits);
     control_handler make_control_handler();
     [[nodiscard]] choice_or_refusal<route_choice> choose_holder(const request_head& head) const;
--- a/tests/drivers/http/overlapped_requests_test.cpp
+++ b/tests/drivers/http/overlapped_requests_test.cpp
@@ -94,4 +94,67 @@
     }());
 }
 
+// Guards against answers that are ready and are lost when a stopping node is killed, because an earlier
+// request of their connection still runs.
+BOOST_DATA_TEST_CASE(stopping_server_answers_all_requests, boost::unit_test::data::make(leaving_cases), row) {
+    const leaving_case expected = row;
+    held_requests requests;
+    server_fixture fixture([&](const request_head& head, body_reader& body,
+                               response_writer& writer) -> awaitable<exchange_result> {
+        if (head.path == "/2") {
+            return echo(head, body, writer);
+        }
+        return requests.run(head, body, writer);
+    });
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send(expected.requests);
+        co_await wait_until([&] { return fixture.handler.calls == expected.running; });
+        bool drained = false;
+        net::co_spawn(fixture.context, fixture.server.drain(),
+                      [&](const std::exception_ptr&) { drained = true; });
+        fixture.server.end_exchanges();
+        const auto first = co_await caller.read_answer();
+        BOOST_TEST(first.result_int() == 504U);
+        if (expected.running > 1) {
+            const auto second = co_await caller.read_answer();
+            BOOST_TEST(second.body() == "GET /2 ");
+        }
+        BOOST_TEST(co_await caller.read_to_end() == "");
+        BOOST_TEST(requests.cancelled == 1);
+        caller.socket.close();
+        co_await wait_until([&] { return drained; });
+    }());
+}
+
+// Guards against a close that discards the answer to a request behind, which has run.
+BOOST_AUTO_TEST_CASE(draining_server_closes_after_the_last_answer) {
+    bool released = false;
+    server_fixture fixture([&](const request_head& head, body_reader& body,
+                               response_writer& writer) -> awaitable<exchange_result> {
+        co_await wait_until([&] { return released; });
+        co_return co_await echo(head, body, writer);
+    });
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        co_await wait_until([&] { return fixture.handler.calls == 2; });
+        bool drained = false;
+        net::co_spawn(fixture.context, fixture.server.drain(),
+                      [&](const std::exception_ptr&) { drained = true; });
+        released = true;
+        const auto first = co_await caller.read_answer();
+        BOOST_TEST(first.body() == "GET /1 ");
+        BOOST_TEST(first["Connection"] != "close");
+        const auto second = co_await caller.read_answer();
+        BOOST_TEST(second.body() == "GET /2 ");
+        BOOST_TEST(second["Connection"] == "close");
+        BOOST_TEST(co_await caller.read_to_end() == "");
+        caller.socket.close();
+        co_await wait_until([&] { return drained; });
+    }());
+}
+
 }  // namespace teaselpitch::testing
