Give up a connection to the store after a second, and ask each peer in turn for a later table

Ruled out: a late document in the store (a peer had it 0.05 s after its acknowledgement). Change: connecting has a limit of its own, and the tries go round the members that reported a later version.

--- a/drivers/http/http_call.cpp
+++ b/drivers/http/http_call.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/http_call.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -60,11 +61,12 @@
         co_return address.status();
     }
     beast::tcp_stream stream(executor);
-    stream.expires_after(timeout);
+    stream.expires_after(std::min(timeout, request.connect_timeout));
     auto [connect_error] = co_await stream.async_connect(*address, tuple_awaitable);
     if (connect_error) {
         co_return status_of(connect_error, target, "cannot connect to");
     }
+    stream.expires_after(timeout);
     if (request.detect_silence) {
         set_keep_alive_probes(stream.socket());
     }
--- a/drivers/http/http_call.h
+++ b/drivers/http/http_call.h
@@ -20,6 +20,8 @@
     std::string body;
     /// Fails the call within seconds when the connection went silent, however long the reply may take.
     bool detect_silence = false;
+    /// Longest time for the connection; TCP itself repeats a lost opening packet after ever longer pauses.
+    std::chrono::milliseconds connect_timeout{1'000};
     std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;  ///< A longer reply fails the call.
 };
 
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -129,6 +129,7 @@
     std::unique_ptr<configuration_feed> feed_;
     std::unique_ptr<node_registration> registration_;
     bool fetching_configuration_ = false;
+    std::uint64_t configuration_fetches_ = 0;  ///< Tries so far.
     std::uint64_t published_as_of_ = 0;  ///< End of the log behind the snapshot that this node appended last.
 };
 
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -6,12 +6,16 @@
 
 #include "core/event_log.h"
 #include "modules/node/control_plane.h"
+#include "servers/membership/later_table.h"
 #include "servers/table/snapshot_codec.h"
 
 namespace teaselpitch {
 namespace {
 
 constexpr std::chrono::milliseconds table_timeout{2'000};
+// A try at a member that is cut off leaves time for another one within the 2 s in which a version takes
+// effect.
+constexpr std::chrono::milliseconds configuration_timeout{700};
 
 }  // namespace
 
@@ -128,18 +132,16 @@
     if (fetching_configuration_) {
         return;
     }
-    for (const member& known : fleet_.members()) {
-        if (known.running() && known.table_version > own) {
-            fetching_configuration_ = true;
-            spawn(fetch_configuration_from(known.peer), "fetch_configuration");
-            return;
-        }
+    const std::vector<member> members = fleet_.members();
+    if (const std::optional<endpoint> source = find_later_table(members, own, ++configuration_fetches_)) {
+        fetching_configuration_ = true;
+        spawn(fetch_configuration_from(*source), "fetch_configuration");
     }
 }
 
 awaitable<void> control_plane::fetch_configuration_from(endpoint peer) {
     std::string known = std::to_string(feed_->version());
-    const auto answer = co_await peers_.call(peer, table_method, std::move(known), table_timeout);
+    const auto answer = co_await peers_.call(peer, table_method, std::move(known), configuration_timeout);
     fetching_configuration_ = false;
     if (answer.ok() && !answer->empty()) {
         feed_->offer(*answer, "peer " + to_string(peer));
