--- a/servers/routing/target_chooser.cpp
+++ b/servers/routing/target_chooser.cpp
@@ -128,8 +128,7 @@
     if (report.leaving) {
         load.leaving.store(true, std::memory_order_relaxed);
     }
-    load.suspect_until_ns.store(report.suspect ? to_ns(clock_.now() + options_.suspicion) : 0,
-                                std::memory_order_relaxed);
+    load.suspected_at_ns.store(report.suspect ? to_ns(clock_.now()) : 0, std::memory_order_relaxed);
 }
 
 choice target_chooser::choose(std::span<const std::string> excluded) {
@@ -215,23 +214,39 @@
     }
 }
 
-bool target_chooser::suspect_at(const view_target& target, steady_time now) const {
-    return target.load->suspect_until_ns.load(std::memory_order_relaxed) > to_ns(now);
+bool target_chooser::suspected_within(const view_target& target, steady_time now,
+                                      std::chrono::milliseconds time) const {
+    const std::int64_t since = target.load->suspected_at_ns.load(std::memory_order_relaxed);
+    return since != 0 && since > to_ns(now - time);
+}
+
+std::chrono::milliseconds target_chooser::suspicion_now(const draw& state) const {
+    const std::vector<view_target>& targets = state.current.targets;
+    double load = 0;
+    double slots = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (state.weights[i] > 0 && !suspected_within(targets[i], state.now, options_.suspicion_with_room)) {
+            load += state.loads[i];
+            slots += targets[i].target.slots;
+        }
+    }
+    return load < options_.room_load * slots ? options_.suspicion_with_room : options_.suspicion;
 }
 
 // Suspect targets keep their weights only when no other target has one.
 void target_chooser::leave_out_suspects(draw& state) const {
     const std::vector<view_target>& targets = state.current.targets;
+    const std::chrono::milliseconds suspicion = suspicion_now(state);
     double good = 0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        good += suspect_at(targets[i], state.now) ? 0.0 : state.weights[i];
+        good += suspected_within(targets[i], state.now, suspicion) ? 0.0 : state.weights[i];
     }
     if (good <= 0) {
         state.only_suspects = true;
         return;
     }
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        if (suspect_at(targets[i], state.now)) {
+        if (suspected_within(targets[i], state.now, suspicion)) {
             (state.partial[i] ? state.partial_weight : state.full_weight) -= state.weights[i];
             state.weights[i] = 0;
         }
--- a/servers/routing/target_chooser.h
+++ b/servers/routing/target_chooser.h
@@ -28,6 +28,10 @@
     std::chrono::milliseconds report_lifetime{2'000};
     /// Time for which a target that its gate suspects is chosen only when no other is left.
     std::chrono::milliseconds suspicion{700};
+    /// The same while the other targets have room, so that nothing is lost when the target is good again.
+    std::chrono::milliseconds suspicion_with_room{2'000};
+    /// Load per slot of the other targets up to which they have room.
+    double room_load = 0.7;
 };
 
 /// A target as the chooser sees it: registry, table row of its zone and ejector together.
@@ -55,7 +59,7 @@
     std::atomic<std::int32_t> others{0};          ///< Requests of other nodes by the last report.
     std::atomic<std::int64_t> reported_at_ns{0};  ///< Monotonic time of the report; 0 for none.
     std::atomic<bool> leaving{false};
-    std::atomic<std::int64_t> suspect_until_ns{0};  ///< Monotonic time; 0 when the last report was good.
+    std::atomic<std::int64_t> suspected_at_ns{0};  ///< Monotonic time; 0 when the last report was good.
 };
 
 /// A chosen target. The request counts as outstanding until this object is destroyed.
@@ -132,7 +136,9 @@
                                      std::span<const zone_limit> limits) const;
     [[nodiscard]] double load_at(const view_target& target, steady_time now) const;
     [[nodiscard]] double share_at(const view_target& target, steady_time now) const;
-    [[nodiscard]] bool suspect_at(const view_target& target, steady_time now) const;
+    [[nodiscard]] bool suspected_within(const view_target& target, steady_time now,
+                                        std::chrono::milliseconds time) const;
+    [[nodiscard]] std::chrono::milliseconds suspicion_now(const draw& state) const;
     void weigh(draw& state, std::span<const std::string> excluded) const;
     void leave_out_suspects(draw& state) const;
     std::optional<std::size_t> draw_target(draw& state);
--- a/tests/servers/routing/suspect_targets_test.cpp
+++ b/tests/servers/routing/suspect_targets_test.cpp
@@ -1,4 +1,5 @@
 // Pattern: a target fails its work at once, so it looks idle, and every ingress would send it more.
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -18,6 +19,7 @@
     const char* name;
     std::vector<std::string> suspects;
     std::chrono::milliseconds age;  ///< Time since their reports.
+    std::uint32_t busy;             ///< Slots in use at each of the others.
     std::set<std::string> chosen;
     bool suspect;  ///< The choice says that only suspects are left.
 };
@@ -27,11 +29,14 @@
 }
 
 const std::vector<suspect_case> suspect_cases{
-    {"no report", {}, 0ms, {"a", "b", "c"}, false},
-    {"one suspect is left out", {"b"}, 0ms, {"a", "c"}, false},
-    {"two suspects are left out", {"a", "b"}, 0ms, {"c"}, false},
-    {"all are suspect", {"a", "b", "c"}, 0ms, {"a", "b", "c"}, true},
-    {"suspicion ends by itself", {"b"}, 800ms, {"a", "b", "c"}, false},
+    {"no report", {}, 0ms, 0, {"a", "b", "c"}, false},
+    {"one suspect is left out", {"b"}, 0ms, 0, {"a", "c"}, false},
+    {"two suspects are left out", {"a", "b"}, 0ms, 0, {"c"}, false},
+    {"all are suspect", {"a", "b", "c"}, 0ms, 0, {"a", "b", "c"}, true},
+    {"suspicion lasts while the others have room", {"b"}, 1'900ms, 0, {"a", "c"}, false},
+    {"suspicion ends by itself", {"b"}, 2'100ms, 0, {"a", "b", "c"}, false},
+    {"one suspect is left out of full ones", {"b"}, 600ms, 4, {"a", "c"}, false},
+    {"suspicion ends sooner when the others are full", {"b"}, 800ms, 4, {"a", "b", "c"}, false},
 };
 
 }  // namespace
@@ -60,6 +65,16 @@
         chooser.on_load(report);
     }
     clock.advance(row.age);
+    for (const char* name : {"a", "b", "c"}) {
+        const bool suspect = std::find(row.suspects.begin(), row.suspects.end(), name) != row.suspects.end();
+        if (!suspect && row.busy > 0) {
+            load_report report;
+            report.target = name;
+            report.slots = 4;
+            report.running = row.busy;
+            chooser.on_load(report);
+        }
+    }
     std::set<std::string> chosen;
     for (int i = 0; i < 200; ++i) {
         const choice made = chooser.choose({});
