Gossip ordinary facts once for each doubling of the fleet, and push drains on

Cause: on the grown sites most bytes between zones are gossip. Ruled out: pings (4 datagrams a second and node), digests (within the zone), state exchange (each 10 s). Change: joins and renewals go out once for each doubling of the number of nodes, and the exchange of the full state brings them to a node that gossip missed. What must reach every node within 2 s (drains, departures, deaths, refutations, quarantines) keeps its three times, and a drain is also pushed on by those that hear of it.

--- a/main/bench_control/fleet_model.cpp
+++ b/main/bench_control/fleet_model.cpp
@@ -29,7 +29,7 @@
     : clock_(clock),
       options_(options),
       random_(options.seed),
-      queue_(membership_options{}.gossip_multiplier),
+      queue_(membership_options{}.gossip),
       versions_(membership_options{}.version_transmissions),
       node_incarnations_(options.nodes, 1'700'000'000'000'000),
       target_incarnations_(options.nodes * options.targets_per_node, 1'700'000'000'000'000),
--- a/servers/membership/gossip_queue.cpp
+++ b/servers/membership/gossip_queue.cpp
@@ -29,18 +29,20 @@
 
 }  // namespace
 
-void gossip_queue::push(std::string_view subject, std::string fact) {
+void gossip_queue::push(std::string_view subject, std::string fact, fact_urgency urgency) {
     const rank place{0, next_--};
     const auto [known, added] = by_subject_.try_emplace(std::string(subject), place);
     if (!added) {
         entries_.erase(known->second);
         known->second = place;
     }
-    entries_.emplace(place, entry{std::string(subject), std::move(fact)});
+    entries_.emplace(place, entry{std::string(subject), std::move(fact), urgency});
 }
 
-std::size_t gossip_queue::transmissions(std::size_t nodes) const {
-    return multiplier_ * static_cast<std::size_t>(std::bit_width(nodes));
+std::size_t gossip_queue::transmissions(std::size_t nodes, fact_urgency urgency) const {
+    const std::size_t multiplier =
+        urgency == fact_urgency::urgent ? multipliers_.urgent : multipliers_.ordinary;
+    return multiplier * static_cast<std::size_t>(std::bit_width(nodes));
 }
 
 void gossip_queue::append_to(std::string& datagram, std::size_t limit, std::size_t nodes) {
@@ -54,11 +56,10 @@
             break;
         }
     }
-    const std::size_t most = transmissions(nodes);
     for (const rank& place : sent) {
         auto item = entries_.extract(place);
         const rank next{place.first + 1, place.second};
-        if (next.first >= most) {
+        if (next.first >= transmissions(nodes, item.mapped().urgency)) {
             by_subject_.erase(item.mapped().subject);
             continue;
         }
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -54,7 +54,7 @@
       seeds_(std::move(seeds)),
       options_(options),
       hooks_(std::move(hooks)),
-      queue_(options.gossip_multiplier),
+      queue_(options.gossip),
       versions_(options.version_transmissions) {
     self_.identity = std::move(self.identity);
     self_.availability_zone = std::move(self.availability_zone);
@@ -97,7 +97,10 @@
 }
 
 void membership::queue_self() {
-    queue_.push(node_subject(self_.identity.name), wrap(self_).SerializeAsString());
+    // The first word of a node is ordinary; what follows is a drain, a departure or a refutation.
+    const bool first = self_.refutation == 0 && !left_ && !self_.draining;
+    queue_.push(node_subject(self_.identity.name), wrap(self_).SerializeAsString(),
+                first ? fact_urgency::ordinary : fact_urgency::urgent);
 }
 
 membership_output membership::on_datagram(const endpoint& from, std::span<const std::byte> payload) {
@@ -181,9 +184,12 @@
     if (!change.has_value()) {
         return;
     }
-    queue_.push(node_subject(change->who->identity.name), wrap(*change->who).SerializeAsString());
-    // A refutation is as urgent as the suspicion that it ends.
-    if (change->before.has_value() && change->before != change->after) {
+    // A drain shows as a change of a node that stays alive.
+    const bool urgent = change->before.has_value() || change->after != node_state::alive;
+    queue_.push(node_subject(change->who->identity.name), wrap(*change->who).SerializeAsString(),
+                urgent ? fact_urgency::urgent : fact_urgency::ordinary);
+    // A refutation is as urgent as the suspicion that it ends, and a drain as a departure.
+    if (change->before.has_value()) {
         pushes_ = pushes_per_fact;
     }
     if (change->after == node_state::alive && !first_contact_) {
@@ -226,8 +232,10 @@
 }
 
 void membership::spread(const wire::Fact& fact) {
-    queue_.push(subject_of(fact), fact.SerializeAsString());
-    if (is_urgent(fact)) {
+    const bool urgent = is_urgent(fact);
+    queue_.push(subject_of(fact), fact.SerializeAsString(),
+                urgent ? fact_urgency::urgent : fact_urgency::ordinary);
+    if (urgent) {
         pushes_ = pushes_per_fact;
     }
 }
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -28,7 +28,7 @@
     /// From the first probe that got no answer until the death is declared.
     std::chrono::milliseconds suspicion{3000};
     std::size_t indirect_probes = 3;
-    std::size_t gossip_multiplier = 3;
+    gossip_multipliers gossip{};
     std::size_t version_transmissions = 6;
     /// Nodes that get urgent facts at once, and again after push_interval.
     std::size_t push_fanout = 3;
--- a/tests/servers/membership/registry_test.cpp
+++ b/tests/servers/membership/registry_test.cpp
@@ -217,15 +217,18 @@
 // ones.
 BOOST_AUTO_TEST_CASE(queue_is_bounded_and_newest_first) {
     const bool passed = rc::check([] {
-        gossip_queue queue(*rc::gen::inRange<std::size_t>(1, 4));
+        gossip_queue queue({.ordinary = *rc::gen::inRange<std::size_t>(1, 4),
+                            .urgent = *rc::gen::inRange<std::size_t>(1, 6)});
         const auto facts = *rc::gen::inRange<std::size_t>(1, 60);
         const auto size = *rc::gen::inRange<std::size_t>(1, 300);
         const auto nodes = *rc::gen::inRange<std::size_t>(1, 4000);
+        std::size_t most = 0;
         for (std::size_t i = 0; i < facts; ++i) {
-            queue.push("s" + std::to_string(i), std::string(size, static_cast<char>('a' + i % 26)));
+            const auto urgency = *rc::gen::element(fact_urgency::ordinary, fact_urgency::urgent);
+            queue.push("s" + std::to_string(i), std::string(size, static_cast<char>('a' + i % 26)), urgency);
+            most += queue.transmissions(nodes, urgency);
         }
         RC_ASSERT(queue.size() == facts);
-        const std::size_t most = facts * queue.transmissions(nodes);
         std::size_t sent = 0;
         for (bool first = true; queue.size() > 0; first = false) {
             std::string datagram;
