Write events to standard output from a thread of its own

Cause: events went to standard error, and a reader that stops reading held up the request that logged. Change: the node queues 1,024 lines for a writer thread; when the queue is full the oldest are dropped and counted (teaselpitch_dropped_log_lines). Lines before the start, such as faults of the settings, still go to standard error.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -1,6 +1,7 @@
 #include "core/event_log.h"
 
 #include <fmt/format.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -63,15 +64,26 @@
     return spdlog::level::err;
 }
 
-spdlog::logger& event_logger() {
-    static const std::shared_ptr<spdlog::logger> logger = [] {
-        auto created =
-            std::make_shared<spdlog::logger>("events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-        created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
-        created->set_level(spdlog::level::info);
-        return created;
-    }();
-    return *logger;
+std::shared_ptr<spdlog::logger> with_pattern(std::shared_ptr<spdlog::logger> created) {
+    created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+    created->set_level(spdlog::level::info);
+    return created;
+}
+
+std::shared_ptr<spdlog::logger> direct_logger() {
+    return with_pattern(
+        std::make_shared<spdlog::logger>("events", std::make_shared<spdlog::sinks::stderr_sink_mt>()));
+}
+
+std::shared_ptr<spdlog::logger>& event_logger() {
+    static std::shared_ptr<spdlog::logger> logger = direct_logger();
+    return logger;
+}
+
+/// The queue and the thread of background_events; null without one.
+std::shared_ptr<spdlog::details::thread_pool>& writer_pool() {
+    static std::shared_ptr<spdlog::details::thread_pool> pool;
+    return pool;
 }
 
 }  // namespace
@@ -93,13 +105,34 @@
 }
 
 void log_event(event_level level, std::string_view event, std::initializer_list<event_field> fields) {
-    if (event_logger().should_log(to_spdlog(level))) {
-        event_logger().log(to_spdlog(level), "{}", format_event(event, fields));
+    if (event_logger()->should_log(to_spdlog(level))) {
+        event_logger()->log(to_spdlog(level), "{}", format_event(event, fields));
     }
 }
 
 void set_event_level(event_level lowest) {
-    event_logger().set_level(to_spdlog(lowest));
+    event_logger()->set_level(to_spdlog(lowest));
+}
+
+std::uint64_t dropped_events() {
+    return writer_pool() ? writer_pool()->overrun_counter() : 0;
+}
+
+background_events::background_events(std::FILE* stream, std::size_t queued_lines) {
+    using stream_sink = spdlog::sinks::stdout_sink_base<spdlog::details::console_mutex>;
+    writer_pool() = std::make_shared<spdlog::details::thread_pool>(queued_lines, 1);
+    const auto level = event_logger()->level();
+    event_logger() = with_pattern(
+        std::make_shared<spdlog::async_logger>("events", std::make_shared<stream_sink>(stream), writer_pool(),
+                                               spdlog::async_overflow_policy::overrun_oldest));
+    event_logger()->set_level(level);
+}
+
+background_events::~background_events() {
+    const auto level = event_logger()->level();
+    event_logger() = direct_logger();
+    event_logger()->set_level(level);
+    writer_pool().reset();  // Writes what is queued and joins the thread.
 }
 
 }  // namespace teaselpitch
--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <string>
 
 #include "core/clock.h"
@@ -31,6 +32,7 @@
         return 0;
     }
     set_event_level(loaded.settings.log_level);
+    const background_events output(stdout);
     // A write to a closed connection is an error of that connection, not the end of the process.
     std::signal(SIGPIPE, SIG_IGN);
     const system_time_source clock;
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -52,7 +52,8 @@
       known_targets_(gauge(registry_, "teaselpitch_known_targets", "Targets in this node's view")),
       log_available_(gauge(registry_, "teaselpitch_log_available", "1 while the log answers")),
       live_claims_(gauge(registry_, "teaselpitch_claims", "Idempotency keys that are remembered")),
-      claim_bytes_(gauge(registry_, "teaselpitch_claim_bytes", "Memory of the idempotency keys")) {}
+      claim_bytes_(gauge(registry_, "teaselpitch_claim_bytes", "Memory of the idempotency keys")),
+      dropped_events_(gauge(registry_, "teaselpitch_dropped_log_lines", "Log lines that were not written")) {}
 
 void node_metrics::count_request(std::string_view service, error_kind error,
                                  std::chrono::nanoseconds latency) {
@@ -98,6 +99,10 @@
     claim_bytes_.Set(static_cast<double>(bytes));
 }
 
+void node_metrics::set_dropped_events(std::uint64_t lines) {
+    dropped_events_.Set(static_cast<double>(lines));
+}
+
 std::string node_metrics::text() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -31,6 +31,7 @@
     void count_store_call(std::string_view call, unsigned status);
     void set_log_available(bool available);
     void set_claims(std::size_t live, std::size_t bytes);
+    void set_dropped_events(std::uint64_t lines);
 
     // Queries.
     [[nodiscard]] std::string text() const;
@@ -50,6 +51,7 @@
     prometheus::Gauge& log_available_;
     prometheus::Gauge& live_claims_;
     prometheus::Gauge& claim_bytes_;
+    prometheus::Gauge& dropped_events_;
 };
 
 }  // namespace teaselpitch
