Decide at its turn whether an answer is the last one of a draining connection

Cause: the head was formatted before the answer's turn came, while earlier requests were still open, so that the last answer of a draining connection did not say that it closes. Change: the writer waits for its turn before it formats the head.

--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -94,6 +94,9 @@
         co_return absl::FailedPreconditionError("the head was already written");
     }
     started_ = true;
+    if (settings_.wait_turn) {
+        co_await settings_.wait_turn();  // Only then is it known whether this answer is the last one.
+    }
     choose_framing(head);
     pending_ = format_head(head);
     if (framing_ == framing::chunked || framing_ == framing::until_close) {
@@ -180,9 +183,6 @@
 
 awaitable<absl::Status> caller_writer::send(std::string_view first, std::span<const std::byte> second,
                                             std::string_view third) {
-    if (settings_.wait_turn) {
-        co_await std::exchange(settings_.wait_turn, nullptr)();
-    }
     const std::array<net::const_buffer, 3> buffers{
         net::buffer(first), net::buffer(second.data(), second.size()), net::buffer(third)};
     deadline_.arm(settings_.timeout);
--- a/tests/drivers/http/overlapped_requests_test.cpp
+++ b/tests/drivers/http/overlapped_requests_test.cpp
@@ -140,10 +140,14 @@
         raw_connection caller(fixture.context.get_executor());
         co_await caller.connect(fixture.address);
         co_await caller.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        raw_connection idle(fixture.context.get_executor());
+        co_await idle.connect(fixture.address);
         co_await wait_until([&] { return fixture.handler.calls == 2; });
         bool drained = false;
         net::co_spawn(fixture.context, fixture.server.drain(),
                       [&](const std::exception_ptr&) { drained = true; });
+        // The drain has begun when it closes the idle connection.
+        BOOST_TEST(co_await idle.read_to_end() == "");
         released = true;
         const auto first = co_await caller.read_answer();
         BOOST_TEST(first.body() == "GET /1 ");
