Let bridges carry membership traffic between availability zones

Cause: each node probed one random member and the next on the ring of all nodes each second, and pushed urgent facts to random nodes, so most datagrams crossed zones, which is the dearest resource on the mesh deployments. Change: probes, pushes and anti-entropy stay in the zone. Two bridges a zone, chosen by rendezvous hashing, probe the bridges of other zones and pass on the facts about their own zone; an urgent fact also leaves the zone from its origin.

--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -83,6 +83,10 @@
     remove_from(suspects_, value);
     ring_.erase(stable_hash(value.identity.name));
     by_identity_.erase(identity_hash(value.identity));
+    const auto at_endpoint = running_by_gossip_endpoint_.find(value.gossip);
+    if (at_endpoint != running_by_gossip_endpoint_.end() && at_endpoint->second == &value) {
+        running_by_gossip_endpoint_.erase(at_endpoint);
+    }
 }
 
 void member_table::add_to_indexes(member& value) {
@@ -92,6 +96,7 @@
     }
     if (value.running()) {
         ring_[stable_hash(value.identity.name)] = &value;
+        running_by_gossip_endpoint_[value.gossip] = &value;
     }
     by_identity_[identity_hash(value.identity)] = &value;
 }
@@ -186,18 +191,25 @@
     return found == members_.end() ? nullptr : &found->second;
 }
 
+const member* member_table::find_by_gossip_endpoint(const endpoint& address) const {
+    const auto found = running_by_gossip_endpoint_.find(address);
+    return found == running_by_gossip_endpoint_.end() ? nullptr : found->second;
+}
+
 member* member_table::find_by_hash(std::uint64_t hash) {
     const auto found = by_identity_.find(hash);
     return found == by_identity_.end() ? nullptr : found->second;
 }
 
-const member* member_table::successor(std::string_view name) const {
+const member* member_table::successor(std::string_view name, std::string_view zone) const {
     auto next = ring_.upper_bound(stable_hash(name));
     for (std::size_t i = 0; i < ring_.size(); ++i) {
         if (next == ring_.end()) {
             next = ring_.begin();
         }
-        if (next->second->state == node_state::alive) {
+        const member& value = *next->second;
+        if (value.state == node_state::alive && value.availability_zone == zone &&
+            value.identity.name != name) {
             return next->second;
         }
         ++next;
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -72,6 +72,8 @@
 
     member* find(std::string_view name);
     [[nodiscard]] const member* find(std::string_view name) const;
+    /// Returns the running member with this gossip endpoint, or null.
+    [[nodiscard]] const member* find_by_gossip_endpoint(const endpoint& address) const;
     /// Returns the member whose identity has this hash, or null.
     member* find_by_hash(std::uint64_t hash);
     /// Alive and suspect members in unspecified order.
@@ -79,8 +81,9 @@
     /// Dead and left members in unspecified order.
     [[nodiscard]] const std::vector<member*>& stopped() const { return stopped_; }
     [[nodiscard]] const std::vector<member*>& suspects() const { return suspects_; }
-    /// Returns the next alive member after this name on the ring of name hashes, or null when there is none.
-    [[nodiscard]] const member* successor(std::string_view name) const;
+    /// Returns the next alive member of the zone after this name on the ring of name hashes, or null when
+    /// there is none.
+    [[nodiscard]] const member* successor(std::string_view name, std::string_view zone) const;
     /// Returns the names of suspects whose deadline has passed.
     [[nodiscard]] std::vector<std::string> expired_suspects(steady_time now) const;
 
@@ -95,6 +98,7 @@
     std::vector<member*> suspects_;
     // Running members by the hash of their name.
     std::map<std::uint64_t, member*> ring_;
+    std::map<endpoint, member*> running_by_gossip_endpoint_;
     // Members by identity_hash(identity).
     std::unordered_map<std::uint64_t, member*> by_identity_;
 };
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -15,6 +15,13 @@
 // Datagrams carry version reports only up to this size. At 3,200 nodes and 6,500 versions a day the reports
 // fill every datagram, and 1400 bytes would leave no room for bursts of facts within 12 KB/s.
 constexpr std::size_t max_datagram_bytes_with_versions = 1100;
+// Datagrams to other zones carry fewer version reports, because only the newest version matters there within
+// seconds.
+constexpr std::size_t max_version_bytes_to_other_zones = 288;
+// A fact that leaves the zone is sent by each bridge to one bridge of each other zone, an urgent one twice.
+constexpr gossip_multipliers remote_transmissions{.ordinary = 1, .urgent = 2};
+// The facts about the start of a whole zone need several datagrams.
+constexpr std::size_t max_remote_datagrams_per_push = 4;
 // Number of times that each node that receives an urgent fact pushes it.
 constexpr unsigned pushes_per_urgent_fact = 2;
 
@@ -54,7 +61,9 @@
       seeds_(std::move(seeds)),
       options_(options),
       hooks_(std::move(hooks)),
+      bridges_(options.bridges_per_zone),
       queue_(options.gossip),
+      remote_queue_(remote_transmissions),
       versions_(options.version_transmissions) {
     self_.identity = std::move(self.identity);
     self_.availability_zone = std::move(self.availability_zone);
@@ -69,10 +78,14 @@
     };
     next_probe_ = phase(options_.probe_interval);
     next_ring_probe_ = phase(options_.probe_interval);
+    next_bridge_probe_ = phase(options_.probe_interval);
+    next_remote_probe_ = phase(options_.remote_probe_interval);
     next_dead_probe_ = phase(options_.dead_probe_interval);
     next_sync_ = phase(options_.sync_interval);
+    next_remote_sync_ = phase(options_.sync_interval);
     next_seed_ = clock_.now();
     next_push_ = clock_.now();
+    next_remote_push_ = clock_.now();
     queue_own_fact();
 }
 
@@ -89,18 +102,78 @@
     return result;
 }
 
+void membership::update_bridges() {
+    if (!bridges_outdated_) {
+        return;
+    }
+    bridges_outdated_ = false;
+    const bool was_bridge = bridges_.is_bridge();
+    bridges_.update(self_, members_.running());
+    if (bridges_.is_bridge() && !was_bridge) {
+        // The previous bridge may have failed before it passed on the latest facts.
+        next_remote_sync_ = std::min(next_remote_sync_, clock_.now() + options_.probe_interval);
+    }
+}
+
+// An unknown receiver counts as one of this zone.
+bool membership::is_remote(const endpoint& to) const {
+    const member* receiver = members_.find_by_gossip_endpoint(to);
+    return receiver != nullptr && receiver->availability_zone != self_.availability_zone;
+}
+
 void membership::send(const endpoint& to, const wire::Datagram& message) {
     std::string payload = message.SerializeAsString();
-    queue_.append_to(payload, max_datagram_bytes, members_.running().size() + 1);
-    versions_.append_to(payload, max_datagram_bytes_with_versions);
+    if (is_remote(to)) {
+        versions_.append_to(payload, payload.size() + max_version_bytes_to_other_zones);
+    } else {
+        update_bridges();
+        queue_.append_to(payload, max_datagram_bytes, bridges_.zone_members().size() + 1);
+        versions_.append_to(payload, max_datagram_bytes_with_versions);
+    }
     output_.datagrams.push_back({to, std::move(payload)});
 }
 
+void membership::queue_gossip(const std::string& subject, const std::string& fact, fact_urgency urgency,
+                              fact_reach reach) {
+    queue_.push(subject, fact, urgency);
+    if (reach == fact_reach::everywhere) {
+        update_bridges();
+        if (!bridges_.remote_zones().empty()) {
+            remote_queue_.push(subject, fact, urgency);
+        }
+    }
+}
+
+// The bridges of a zone pass on what concerns their own zone. Everything else has come from another zone.
+membership::fact_reach membership::reach_of(const wire::Fact& fact) const {
+    const auto zone_of_node = [this](const std::string& name) {
+        const member* node = name == self_.identity.name ? &self_ : members_.find(name);
+        return node == nullptr ? std::string_view() : std::string_view(node->availability_zone);
+    };
+    std::string_view zone;
+    switch (fact.fact_case()) {
+        case wire::Fact::kTarget:
+            zone = zone_of_node(fact.target().node());
+            break;
+        case wire::Fact::kVerdict:
+            zone = fact.verdict().origin_zone();
+            break;
+        case wire::Fact::kQuarantine:
+            zone = zone_of_node(fact.quarantine().origin_node());
+            break;
+        default:
+            zone = fact.node().availability_zone();
+            break;
+    }
+    return bridges_.is_bridge() && zone == self_.availability_zone ? fact_reach::everywhere
+                                                                   : fact_reach::zone;
+}
+
 void membership::queue_own_fact() {
     // The first announcement of a node is ordinary. Later ones announce a drain, a departure or a refutation.
     const bool first = self_.refutation == 0 && !left_ && !self_.draining;
-    queue_.push(node_subject(self_.identity.name), to_fact(self_).SerializeAsString(),
-                first ? fact_urgency::ordinary : fact_urgency::urgent);
+    queue_gossip(node_subject(self_.identity.name), to_fact(self_).SerializeAsString(),
+                 first ? fact_urgency::ordinary : fact_urgency::urgent, fact_reach::everywhere);
 }
 
 membership_output membership::on_datagram(const endpoint& from, std::span<const std::byte> payload) {
@@ -137,7 +210,8 @@
     if (fact.has_node()) {
         apply_node_fact(fact.node(), source);
     } else if (hooks_.on_fact && hooks_.on_fact(fact)) {
-        queue_fact(fact);
+        update_bridges();
+        queue_fact(fact, reach_of(fact));
     }
 }
 
@@ -184,11 +258,13 @@
     if (!change.has_value()) {
         return;
     }
+    bridges_outdated_ = true;
+    update_bridges();
     // A drain is a change of a member whose state stays alive.
     const bool urgent = change->previous_state.has_value() || change->new_state != node_state::alive;
-    queue_.push(node_subject(change->changed_member->identity.name),
-                to_fact(*change->changed_member).SerializeAsString(),
-                urgent ? fact_urgency::urgent : fact_urgency::ordinary);
+    const wire::Fact fact = to_fact(*change->changed_member);
+    queue_gossip(node_subject(change->changed_member->identity.name), fact.SerializeAsString(),
+                 urgent ? fact_urgency::urgent : fact_urgency::ordinary, reach_of(fact));
     // A refutation is as urgent as the suspicion that it ends, and a drain is as urgent as a departure.
     if (change->previous_state.has_value()) {
         remaining_pushes_ = pushes_per_urgent_fact;
@@ -226,23 +302,27 @@
 void membership::set_draining(bool draining) {
     if (self_.draining != draining) {
         self_.draining = draining;
+        bridges_outdated_ = true;
         ++self_.refutation;
         queue_own_fact();
         remaining_pushes_ = pushes_per_urgent_fact;
     }
 }
 
-void membership::queue_fact(const wire::Fact& fact) {
+void membership::queue_fact(const wire::Fact& fact, fact_reach reach) {
     const bool urgent = is_urgent(fact);
-    queue_.push(fact_subject(fact), fact.SerializeAsString(),
-                urgent ? fact_urgency::urgent : fact_urgency::ordinary);
+    queue_gossip(fact_subject(fact), fact.SerializeAsString(),
+                 urgent ? fact_urgency::urgent : fact_urgency::ordinary, reach);
     if (urgent) {
         remaining_pushes_ = pushes_per_urgent_fact;
     }
 }
 
 membership_output membership::gossip(const wire::Fact& fact) {
-    queue_fact(fact);
+    // An urgent fact leaves the zone at once; an ordinary one through the bridges.
+    update_bridges();
+    const bool leaves_zone = is_urgent(fact) || bridges_.is_bridge();
+    queue_fact(fact, leaves_zone ? fact_reach::everywhere : fact_reach::zone);
     push_if_due();
     return take_output();
 }
@@ -265,9 +345,43 @@
     queue_own_fact();
     remaining_pushes_ = pushes_per_urgent_fact;
     push();
+    push_to_other_zones();
     return take_output();
 }
 
+void membership::push() {
+    update_bridges();
+    for (const member* target :
+         pick_random(bridges_.zone_members(), options_.push_fanout, self_.identity.name)) {
+        send(target->gossip, make_datagram(wire::Datagram::GOSSIP, 0));
+    }
+}
+
+void membership::push_to_other_zones() {
+    update_bridges();
+    for (std::size_t i = 0; i < max_remote_datagrams_per_push && remote_queue_.size() > 0; ++i) {
+        std::string payload = make_datagram(wire::Datagram::GOSSIP, 0).SerializeAsString();
+        remote_queue_.append_to(payload, max_datagram_bytes, 1);
+        for (const remote_zone& zone : bridges_.remote_zones()) {
+            const member* bridge = zone.bridges[random_() % zone.bridges.size()];
+            output_.datagrams.push_back({bridge->gossip, payload});
+        }
+    }
+}
+
+void membership::push_if_due() {
+    const steady_time now = clock_.now();
+    if (remaining_pushes_ > 0 && now >= next_push_) {
+        --remaining_pushes_;
+        next_push_ = now + options_.push_interval;
+        push();
+    }
+    if (remote_queue_.size() > 0 && now >= next_remote_push_) {
+        next_remote_push_ = now + options_.push_interval;
+        push_to_other_zones();
+    }
+}
+
 void membership::apply_synced_fact(const wire::NodeFact& fact) {
     apply_node_fact(fact, fact_source::sync);
 }
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -18,6 +18,7 @@
 #include "servers/membership/gossip_queue.h"
 #include "servers/membership/member_table.h"
 #include "servers/membership/version_reports.h"
+#include "servers/membership/zone_bridges.h"
 
 namespace teaselpitch {
 
@@ -30,9 +31,17 @@
     std::size_t indirect_probes = 3;  ///< Number of relays for an indirect probe.
     gossip_multipliers gossip{};
     std::size_t version_transmissions = 6;  ///< Number of times that a node sends each version report.
-    /// Number of nodes that urgent facts are pushed to immediately, and again after push_interval.
+    /// Number of nodes of the own zone that urgent facts are pushed to immediately, and again after
+    /// push_interval.
     std::size_t push_fanout = 3;
+    std::size_t bridges_per_zone = 2;
+    /// Between probes of a random node of another zone by each node; bridges of other zones are probed each
+    /// probe_interval by the bridges.
+    std::chrono::milliseconds remote_probe_interval{10'000};
+    /// Number of further nodes of another zone that are probed when one of them does not answer.
+    std::size_t sweep_fanout = 8;
     std::chrono::milliseconds push_interval{100};
+    /// Between anti-entropy exchanges within the zone. A bridge makes as many with other zones.
     std::chrono::milliseconds sync_interval{10'000};
     std::chrono::milliseconds seed_interval{30'000};  ///< Between pings to a seed while other members run.
     std::chrono::milliseconds dead_probe_interval{10'000};  ///< Between pings to a random dead node.
@@ -71,8 +80,14 @@
     std::optional<endpoint> sync_peer;  ///< Peer endpoint to start an anti-entropy exchange with.
 };
 
-/// SWIM membership of one node. Each probe interval it probes one member in shuffled round-robin order and
-/// the next member on the hash ring, so that a death is detected within a second for any number of nodes.
+/// SWIM membership of one node. Each probe interval it probes one member of its zone in shuffled round-robin
+/// order and the next member of its zone on the hash ring, so that a death is detected within a second for
+/// any number of nodes.
+///
+/// Only the bridges of a zone probe and inform other zones regularly: facts about a zone leave it through its
+/// bridges, so that the bytes between zones do not grow with the number of nodes. When a node of another zone
+/// does not answer, further nodes of that zone are probed at once, so that the loss of a zone is noticed as
+/// fast as that of one node.
 class membership {
 public:
     membership(const time_source& clock, std::mt19937_64 random, membership_local_node self,
@@ -115,7 +130,7 @@
     [[nodiscard]] std::vector<std::string> nodes_below_version(std::uint64_t version) const;
 
 private:
-    enum class probe_kind : std::uint8_t { member, ring, dead };
+    enum class probe_kind : std::uint8_t { member, ring, remote, dead };
     struct pending_probe {
         std::string name;
         probe_kind kind = probe_kind::member;
@@ -129,7 +144,15 @@
         steady_time sent;
     };
 
-    void queue_fact(const wire::Fact& fact);
+    /// Where a fact is passed on: within this zone only, or to the other zones as well.
+    enum class fact_reach : std::uint8_t { zone, everywhere };
+
+    void queue_fact(const wire::Fact& fact, fact_reach reach);
+    void queue_gossip(const std::string& subject, const std::string& fact, fact_urgency urgency,
+                      fact_reach reach);
+    [[nodiscard]] fact_reach reach_of(const wire::Fact& fact) const;
+    [[nodiscard]] bool is_remote(const endpoint& to) const;
+    void update_bridges();
     void apply_fact(const wire::Fact& fact, fact_source source);
     void apply_node_fact(const wire::NodeFact& fact, fact_source source);
     void apply_version_report(const wire::VersionReport& report);
@@ -145,13 +168,21 @@
     const member* next_probe_target();
     void check_probes();
     void probe_ring_successor_of(std::string_view name);
+    void probe_remote_bridges();
+    void probe_random_remote_member();
+    void probe_dead_member();
+    void sweep_zone_of(const member& silent);
+    [[nodiscard]] bool is_probing(std::string_view name) const;
     void request_indirect_probes(const member& target, std::uint64_t sequence);
     void declare_expired_suspects();
     void contact_seeds();
     void choose_sync_peer();
     void push();
     void push_if_due();
-    [[nodiscard]] std::vector<const member*> pick_random_members(std::size_t count, std::string_view except);
+    void push_to_other_zones();
+    /// Draws different members that are not `except`.
+    std::vector<const member*> pick_random(std::span<const member* const> from, std::size_t count,
+                                           std::string_view except);
     [[nodiscard]] std::vector<const member*> pick_relays(const member& target);
     void queue_correction(const wire::NodeFact& fact);
     void add_suspects(wire::Datagram& message) const;
@@ -169,22 +200,31 @@
     membership_options options_;
     membership_hooks hooks_;
     member_table members_;
+    zone_bridges bridges_;
+    bool bridges_outdated_ = true;
     gossip_queue queue_;
+    gossip_queue remote_queue_;  ///< Facts to send to the other zones.
     version_reports versions_;
     membership_output output_;
     // Keyed by the sequence of the ping.
     std::unordered_map<std::uint64_t, pending_probe> pending_probes_;
     std::unordered_map<std::uint64_t, relayed_probe> relayed_probes_;
     std::vector<std::string> probe_order_;
+    std::size_t remote_bridge_turn_ = 0;
+    std::unordered_map<std::string, steady_time> sweeps_;  ///< Start of the last sweep of each other zone.
     // Members about which the current datagram has outdated facts. The answer corrects them.
     std::vector<std::string> corrections_;
     std::uint64_t sequence_ = 0;
     steady_time next_probe_;
     steady_time next_ring_probe_;
+    steady_time next_bridge_probe_;
+    steady_time next_remote_probe_;
     steady_time next_dead_probe_;
     steady_time next_seed_;
     steady_time next_sync_;
+    steady_time next_remote_sync_;
     steady_time next_push_;
+    steady_time next_remote_push_;
     unsigned remaining_pushes_ = 0;
     bool has_had_contact_ = false;
     bool left_ = false;
--- a/servers/membership/membership_probes.cpp
+++ b/servers/membership/membership_probes.cpp
@@ -4,7 +4,7 @@
 
 #include "servers/membership/membership.h"
 
-// Timers of membership: probes, suspicions, seeds and pushes, and the selection of relays.
+// Timers of membership: probes, suspicions, seeds and anti-entropy, and the selection of relays.
 
 namespace teaselpitch {
 namespace {
@@ -13,6 +13,12 @@
 // Maximum number of suspicions in each ping, about 80 bytes each.
 constexpr std::size_t max_suspects_per_ping = 5;
 constexpr std::chrono::milliseconds relayed_probe_retention{2000};
+// A sweep of a zone ends after the time in which its probes reach all nodes of the zone, and starts again
+// only after a longer one, so that a lasting partition does not cause a sweep for each lost probe.
+constexpr std::chrono::milliseconds sweep_duration{2'000};
+constexpr std::chrono::milliseconds sweep_interval{30'000};
+// A node that is no bridge probes the dead nodes of other zones less often, by this factor.
+constexpr std::uint64_t remote_dead_probe_factor = 4;
 
 }  // namespace
 
@@ -29,7 +35,9 @@
     choose_sync_peer();
     std::erase_if(relayed_probes_,
                   [now](const auto& item) { return now - item.second.sent > relayed_probe_retention; });
-    members_.remove_expired(now, options_.dead_retention);
+    if (!members_.remove_expired(now, options_.dead_retention).empty()) {
+        bridges_outdated_ = true;
+    }
     push_if_due();
     return take_output();
 }
@@ -44,22 +52,65 @@
     }
     if (now >= next_ring_probe_) {
         next_ring_probe_ = std::max(next_ring_probe_ + options_.probe_interval, now);
-        if (const member* target = members_.successor(self_.identity.name)) {
+        if (const member* target = members_.successor(self_.identity.name, self_.availability_zone)) {
             probe_member(*target, probe_kind::ring);
         }
     }
+    update_bridges();
+    if (now >= next_bridge_probe_) {
+        next_bridge_probe_ = std::max(next_bridge_probe_ + options_.probe_interval, now);
+        probe_remote_bridges();
+    }
+    if (now >= next_remote_probe_) {
+        next_remote_probe_ = std::max(next_remote_probe_ + options_.remote_probe_interval, now);
+        probe_random_remote_member();
+    }
     if (now >= next_dead_probe_) {
         next_dead_probe_ = now + options_.dead_probe_interval;
-        std::vector<const member*> dead;
-        for (const member* value : members_.stopped()) {
-            if (value->state == node_state::dead) {
-                dead.push_back(value);
-            }
-        }
-        if (!dead.empty()) {
-            probe_member(*dead[random_() % dead.size()], probe_kind::dead);
+        probe_dead_member();
+    }
+}
+
+// The next bridge on the ring bounds the time until a silent bridge is noticed. The others, in turn and half
+// as often, spread the table versions.
+void membership::probe_remote_bridges() {
+    if (!bridges_.is_bridge() || bridges_.remote_zones().empty()) {
+        return;
+    }
+    probe_member(*bridges_.next_on_ring(), probe_kind::remote);
+    if (remote_bridge_turn_++ % 2 == 0) {
+        return;
+    }
+    std::vector<const member*> others;
+    for (const remote_zone& zone : bridges_.remote_zones()) {
+        others.insert(others.end(), zone.bridges.begin(), zone.bridges.end());
+    }
+    const member* target = others[remote_bridge_turn_ / 2 % others.size()];
+    if (!is_probing(target->identity.name)) {
+        probe_member(*target, probe_kind::remote);
+    }
+}
+
+void membership::probe_random_remote_member() {
+    update_bridges();
+    for (const member* target : pick_random(bridges_.remote_members(), 1, self_.identity.name)) {
+        probe_member(*target, probe_kind::remote);
+    }
+}
+
+void membership::probe_dead_member() {
+    update_bridges();
+    const bool may_leave_zone = bridges_.is_bridge() || random_() % remote_dead_probe_factor == 0;
+    std::vector<const member*> dead;
+    for (const member* value : members_.stopped()) {
+        const bool in_zone = value->availability_zone == self_.availability_zone;
+        if (value->state == node_state::dead && (in_zone || may_leave_zone)) {
+            dead.push_back(value);
         }
     }
+    if (!dead.empty()) {
+        probe_member(*dead[random_() % dead.size()], probe_kind::dead);
+    }
 }
 
 const member* membership::next_probe_target() {
@@ -71,7 +122,8 @@
                 return target;
             }
         }
-        for (const member* value : members_.running()) {
+        update_bridges();
+        for (const member* value : bridges_.zone_members()) {
             probe_order_.push_back(value->identity.name);
         }
         std::shuffle(probe_order_.begin(), probe_order_.end(), random_);
@@ -122,6 +174,9 @@
             ++target->direct_failures;
             target->last_direct_failure = now;
             request_indirect_probes(*target, sequence);
+            if (target->availability_zone != self_.availability_zone) {
+                sweep_zone_of(*target);
+            }
         }
         if (item.kind == probe_kind::ring) {
             probe_ring_successor_of(item.name);
@@ -143,16 +198,39 @@
 void membership::probe_ring_successor_of(std::string_view name) {
     // When a zone fails, adjacent nodes on the ring fail together, and a failed node no longer probes its
     // successor.
-    const member* next = members_.successor(name);
-    const bool waiting = next != nullptr && std::any_of(pending_probes_.begin(), pending_probes_.end(),
-                                                        [next](const auto& item) {
-                                                            return item.second.name == next->identity.name;
-                                                        });
-    if (next != nullptr && !waiting) {
+    const member* next = members_.successor(name, self_.availability_zone);
+    if (next != nullptr && next->identity.name != self_.identity.name && !is_probing(next->identity.name)) {
         probe_member(*next, probe_kind::ring);
     }
 }
 
+bool membership::is_probing(std::string_view name) const {
+    return std::any_of(pending_probes_.begin(), pending_probes_.end(),
+                       [name](const auto& item) { return item.second.name == name; });
+}
+
+// A zone that is lost has no node left that notices the loss of another one. Each silent node therefore
+// causes probes of several others, which reach the whole zone in a few rounds.
+void membership::sweep_zone_of(const member& silent) {
+    const steady_time now = clock_.now();
+    const auto [started, first] = sweeps_.try_emplace(silent.availability_zone, now);
+    if (now - started->second >= sweep_interval) {
+        started->second = now;
+    } else if (now - started->second > sweep_duration) {
+        return;
+    }
+    std::vector<const member*> others;
+    for (const member* value : members_.running()) {
+        if (value->availability_zone == silent.availability_zone && value->state == node_state::alive &&
+            !is_probing(value->identity.name)) {
+            others.push_back(value);
+        }
+    }
+    for (const member* value : pick_random(others, options_.sweep_fanout, silent.identity.name)) {
+        probe_member(*value, probe_kind::remote);
+    }
+}
+
 void membership::request_indirect_probes(const member& target, std::uint64_t sequence) {
     for (const member* relay : pick_relays(target)) {
         wire::Datagram request = make_datagram(wire::Datagram::PING_REQUEST, sequence);
@@ -169,12 +247,12 @@
     }
 }
 
-std::vector<const member*> membership::pick_random_members(std::size_t count, std::string_view except) {
-    const auto& running = members_.running();
+std::vector<const member*> membership::pick_random(std::span<const member* const> from, std::size_t count,
+                                                   std::string_view except) {
     std::vector<const member*> chosen;
     // Draws more often than needed, because a draw may return the excluded node or one already chosen.
-    for (std::size_t draw = 0; draw < count * 4 && chosen.size() < count && !running.empty(); ++draw) {
-        const member* value = running[random_() % running.size()];
+    for (std::size_t draw = 0; draw < count * 4 && chosen.size() < count && !from.empty(); ++draw) {
+        const member* value = from[random_() % from.size()];
         const bool already_chosen = std::find(chosen.begin(), chosen.end(), value) != chosen.end();
         if (!already_chosen && value->identity.name != except) {
             chosen.push_back(value);
@@ -184,10 +262,11 @@
 }
 
 std::vector<const member*> membership::pick_relays(const member& target) {
-    std::vector<const member*> relays = pick_random_members(options_.indirect_probes, target.identity.name);
+    const std::vector<const member*> running(members_.running().begin(), members_.running().end());
+    std::vector<const member*> relays = pick_random(running, options_.indirect_probes, target.identity.name);
     // A one-way partition between two zones blocks every relay in either of them, so one relay is in a third
     // zone.
-    for (const member* value : pick_random_members(options_.indirect_probes * 4, target.identity.name)) {
+    for (const member* value : pick_random(running, options_.indirect_probes * 4, target.identity.name)) {
         const bool in_third_zone = value->availability_zone != self_.availability_zone &&
                                    value->availability_zone != target.availability_zone;
         if (in_third_zone && value->state == node_state::alive && !relays.empty()) {
@@ -225,28 +304,20 @@
 
 void membership::choose_sync_peer() {
     const steady_time now = clock_.now();
-    if (now < next_sync_) {
-        return;
-    }
-    next_sync_ = now + options_.sync_interval;
-    const std::vector<const member*> chosen = pick_random_members(1, self_.identity.name);
-    if (!chosen.empty()) {
-        output_.sync_peer = chosen.front()->peer;
-    }
-}
-
-void membership::push() {
-    for (const member* target : pick_random_members(options_.push_fanout, self_.identity.name)) {
-        send(target->gossip, make_datagram(wire::Datagram::GOSSIP, 0));
+    update_bridges();
+    std::vector<const member*> candidates;
+    if (now >= next_sync_) {
+        next_sync_ = now + options_.sync_interval;
+        // The first exchange of a node may find no other node of its zone.
+        candidates = bridges_.zone_members().empty() ? bridges_.remote_members() : bridges_.zone_members();
+    } else if (now >= next_remote_sync_ && bridges_.is_bridge()) {
+        next_remote_sync_ = now + options_.sync_interval;
+        for (const remote_zone& zone : bridges_.remote_zones()) {
+            candidates.insert(candidates.end(), zone.bridges.begin(), zone.bridges.end());
+        }
     }
-}
-
-void membership::push_if_due() {
-    const steady_time now = clock_.now();
-    if (remaining_pushes_ > 0 && now >= next_push_) {
-        --remaining_pushes_;
-        next_push_ = now + options_.push_interval;
-        push();
+    for (const member* chosen : pick_random(candidates, 1, self_.identity.name)) {
+        output_.sync_peer = chosen->peer;
     }
 }
 
--- a/tests/servers/membership/simulated_network.h
+++ b/tests/servers/membership/simulated_network.h
@@ -35,6 +35,9 @@
 
     static constexpr std::chrono::milliseconds delay{2};
     static constexpr std::chrono::milliseconds tick_interval{100};
+    static constexpr std::size_t datagram_overhead = 28;  ///< Bytes of the IP and UDP headers.
+    static constexpr std::size_t call_overhead =
+        400;  ///< Estimated bytes of headers of a call and its answer.
 
     simulated_network(std::size_t count, std::size_t zones, std::uint64_t seed) : random_(seed) {
         for (std::size_t i = 0; i < count; ++i) {
@@ -108,6 +111,7 @@
     void send_output(std::size_t from, membership_output output) {
         for (outgoing_datagram& datagram : output.datagrams) {
             BOOST_REQUIRE(datagram.payload.size() <= 1400U);
+            count_bytes(from, datagram.to.port - 1U, datagram.payload.size() + datagram_overhead);
             datagrams_in_flight_.emplace(clock.now() + delay, in_flight_datagram{from, std::move(datagram)});
         }
         if (output.sync_peer.has_value()) {
@@ -121,12 +125,15 @@
             return;
         }
         for (int round = 0; round < 20; ++round) {
-            const auto leaves = nodes[to]->sync->answer_groups(nodes[from]->sync->groups_request());
+            const std::string groups = nodes[from]->sync->groups_request();
+            const auto leaves = nodes[to]->sync->answer_groups(groups);
+            count_bytes(from, to, groups.size() + leaves->size() + call_overhead);
             const auto request = nodes[from]->sync->facts_request(leaves.value());
             if (!request.value().has_value()) {
                 return;
             }
             const auto answer = nodes[to]->sync->answer_facts(**request);
+            count_bytes(from, to, (**request).size() + answer->size() + call_overhead);
             BOOST_REQUIRE(nodes[from]->sync->merge(answer.value()).ok());
         }
     }
@@ -167,8 +174,15 @@
     std::vector<std::unique_ptr<node>> nodes;
     double loss = 0;
     std::function<bool(std::size_t from, std::size_t to)> is_cut;
+    std::size_t bytes_between_zones = 0;
 
 private:
+    void count_bytes(std::size_t from, std::size_t to, std::size_t bytes) {
+        if (to < nodes.size() && nodes[from]->zone != nodes[to]->zone) {
+            bytes_between_zones += bytes;
+        }
+    }
+
     struct in_flight_datagram {
         std::size_t from;
         outgoing_datagram datagram;
