Send health digests to other zones only while a target looks suspicious

A verdict was also pushed to every node of the fleet. Change: digest_recipients keeps periodic digests in the zone and asks other zones at most once a second, while a target looks suspicious and the zone has fewer than two other targets of the service. Verdicts are pushed within the zone and gossiped beyond it.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -377,11 +377,12 @@
         if (!crossed) {
             continue;
         }
-        // A hanging target returns no answer that could carry the verdict, so it is also gossiped and pushed.
+        // A hanging target returns no answer that could carry the verdict, so it is also gossiped, and pushed
+        // within the zone. The bridges carry it to the other zones.
         fleet_.gossip(fact);
         const std::string payload = verdict->SerializeAsString();
         for (const auto& [name, address] : *context_.nodes.read()) {
-            if (name != context_.self.name) {
+            if (name != context_.self.name && address.zone == context_.settings.availability_zone) {
                 spawn(send_verdict(address.peer, payload), "verdict");
             }
         }
--- a/modules/node/health_exchange.cpp
+++ b/modules/node/health_exchange.cpp
@@ -7,7 +7,6 @@
 namespace teaselpitch {
 namespace {
 
-constexpr std::size_t urgent_fanout = 8;
 constexpr std::chrono::milliseconds urgent_interval{100};
 
 target_summary from_wire(const wire::TargetDigest& message) {
@@ -31,7 +30,9 @@
 health_exchange::health_exchange(node_context& context)
     // The sequence starts at the incarnation, so that other nodes do not discard the digests of a restarted
     // node as old.
-    : context_(context), sequence_(context.self.incarnation), random_(context.self.incarnation) {}
+    : context_(context),
+      sequence_(context.self.incarnation),
+      recipients_(context.clock, context.settings.availability_zone, context.self.incarnation) {}
 
 std::vector<outgoing_digest> health_exchange::on_second_tick() {
     std::set<std::string> services;
@@ -40,7 +41,7 @@
     }
     std::vector<outgoing_digest> out;
     for (const std::string& service : services) {
-        queue_digests(service, fanout, out);
+        queue_digests(service, digest_occasion::periodic, out);
     }
     for (auto& [service, entry] : services_) {
         entry->digest.on_tick();
@@ -59,7 +60,7 @@
             continue;
         }
         entry.last_urgent_at = context_.clock.now();
-        queue_digests(target->guarded().service(), urgent_fanout, out);
+        queue_digests(target->guarded().service(), digest_occasion::suspicious_target, out);
     }
     return out;
 }
@@ -114,39 +115,32 @@
     return digest;
 }
 
-std::vector<endpoint> health_exchange::choose_gates(const std::string& service, std::size_t limit) {
+std::vector<digest_gate> health_exchange::other_gates(const std::string& service) const {
     const auto router = context_.services.find(service);
     if (!router) {
         return {};
     }
     const auto nodes = context_.nodes.read();
-    std::set<endpoint> found;
-    std::set<endpoint> same_zone;
+    std::map<endpoint, std::string> zones;
     for (const registered_target& target : router->targets()) {
         const auto node = nodes->find(target.node);
-        if (target.node == context_.self.name || node == nodes->end()) {
-            continue;
-        }
-        found.insert(node->second.peer);
-        if (node->second.zone == context_.settings.availability_zone) {
-            same_zone.insert(node->second.peer);
+        if (target.node != context_.self.name && node != nodes->end()) {
+            zones.emplace(node->second.peer, node->second.zone);
         }
     }
-    // Two other targets are enough for a comparison, and traffic within the availability zone is free.
-    constexpr std::size_t min_same_zone_gates = 2;
-    if (same_zone.size() >= min_same_zone_gates) {
-        found = std::move(same_zone);
+    std::vector<digest_gate> gates;
+    gates.reserve(zones.size());
+    for (auto& [peer, zone] : zones) {
+        gates.push_back({peer, std::move(zone)});
     }
-    std::vector<endpoint> gates;
-    std::sample(found.begin(), found.end(), std::back_inserter(gates), limit, random_);
     return gates;
 }
 
-void health_exchange::queue_digests(const std::string& service, std::size_t limit,
+void health_exchange::queue_digests(const std::string& service, digest_occasion occasion,
                                     std::vector<outgoing_digest>& out) {
     const wire::ServiceDigest digest = make_local_digest(service);
     apply_digest(digest);
-    for (const endpoint& gate : choose_gates(service, limit)) {
+    for (const endpoint& gate : recipients_.choose(service, other_gates(service), occasion)) {
         out.push_back({gate, digest});
     }
 }
--- a/modules/node/health_exchange.h
+++ b/modules/node/health_exchange.h
@@ -3,7 +3,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +10,7 @@
 #include "absl/status/statusor.h"
 #include "core/wire/gossip.pb.h"
 #include "modules/node/node_context.h"
+#include "servers/health/digest_recipients.h"
 #include "servers/health/service_digest.h"
 
 namespace teaselpitch {
@@ -25,10 +25,6 @@
 /// baselines of the outlier detectors. Control thread only.
 class health_exchange {
 public:
-    /// Number of gates that receive a digest each second. A small sample is enough to estimate the median of
-    /// the other targets.
-    static constexpr std::size_t fanout = 4;
-
     explicit health_exchange(node_context& context);
 
     // Commands.
@@ -54,13 +50,14 @@
     void update_baselines(const std::string& service);
     service_entry& service_entry_for(const std::string& service);
     wire::ServiceDigest make_local_digest(const std::string& service);
-    std::vector<endpoint> choose_gates(const std::string& service, std::size_t limit);
-    void queue_digests(const std::string& service, std::size_t limit, std::vector<outgoing_digest>& out);
+    [[nodiscard]] std::vector<digest_gate> other_gates(const std::string& service) const;
+    void queue_digests(const std::string& service, digest_occasion occasion,
+                       std::vector<outgoing_digest>& out);
 
     node_context& context_;
     std::map<std::string, std::unique_ptr<service_entry>> services_;
     std::uint64_t sequence_;
-    std::mt19937_64 random_;
+    digest_recipients recipients_;
 };
 
 }  // namespace teaselpitch
