Queue requests of new routes, and urgent ones before others when the queue is full

The latest start of a class without history was derived from the mean and three deviations of all other classes, so that it lay in the past. And a full queue gave way only to an account with fewer entries, so that with one account an urgent request was refused while less urgent ones waited. Change: a class without a finished request needs half of the mean service time, as when a slot is free; a full queue gives way to a higher rank first.

--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -85,7 +85,7 @@
                                                                      steady_time now) const {
     queued_request entry;
     entry.latest_start =
-        std::min(now + max_wait_, request.deadline - padded_service_time(request.work_class));
+        std::min(now + max_wait_, request.deadline - required_service_time(request.work_class));
     entry.start_by = entry.latest_start;
     entry.deadline = request.deadline;
     entry.account = stable_hash(request.account);
@@ -128,8 +128,9 @@
         insert(removed);
         return make_refusal(error_kind::overloaded, full_reason);
     }
-    result.dropped.push_back({removed.ticket, error_kind::overloaded, displaced_reason,
-                              make_refusal(error_kind::overloaded, displaced_reason).retry_after});
+    const std::string_view reason = removed.rank > entry.rank ? outranked_reason : displaced_reason;
+    result.dropped.push_back({removed.ticket, error_kind::overloaded, reason,
+                              make_refusal(error_kind::overloaded, reason).retry_after});
     insert(entry);
     return result;
 }
@@ -232,7 +233,13 @@
     return found == service_time_by_class_.end() ? overall_service_time_ : found->second;
 }
 
-nanoseconds admission_queue::padded_service_time(std::uint64_t work_class) const {
+// The time that must remain before the deadline when a request starts. The other classes say little about a
+// class without a finished request, which may be a route that was just added; it is only refused when it has
+// no chance.
+nanoseconds admission_queue::required_service_time(std::uint64_t work_class) const {
+    if (work_class != 0 && !service_time_by_class_.contains(work_class)) {
+        return nanoseconds(static_cast<std::int64_t>(overall_service_time_.mean_ns * min_feasible_fraction));
+    }
     const service_time& time = service_time_of(work_class);
     return nanoseconds(static_cast<std::int64_t>(time.mean_ns + deviation_margin * time.deviation_ns));
 }
@@ -277,6 +284,10 @@
 }
 
 std::optional<std::size_t> admission_queue::find_displaceable(const queued_request& entry) const {
+    // The first entry would run last and has the lowest rank.
+    if (!queue_.empty() && queue_.front().rank > entry.rank) {
+        return 0;
+    }
     // Ties are broken by the account hash, because the iteration order of the map differs between processes.
     const auto largest = std::max_element(
         queued_by_account_.begin(), queued_by_account_.end(), [](const auto& left, const auto& right) {
--- a/servers/admission/admission_queue.h
+++ b/servers/admission/admission_queue.h
@@ -84,9 +84,9 @@
 /// request of the same or a higher rank behind it can still start in time; requests of lower ranks that no
 /// longer can are refused at once. Service times are estimated per work class, so that short calls are not
 /// assumed to take as long as the rest. A request that would miss its objective may wait behind all others of
-/// its rank. When the queue is full, a request of an account with few queued requests replaces one of the
-/// account with the most, so that no account can fill the queue. Thread-safe; each call holds one lock
-/// briefly.
+/// its rank. When the queue is full, a request replaces one of a lower rank; within a rank, a request of an
+/// account with few queued requests replaces one of the account with the most, so that no account can fill
+/// the queue. Thread-safe; each call holds one lock briefly.
 class admission_queue {
 public:
     admission_queue(const time_source& clock, const admission_options& options);
@@ -145,7 +145,7 @@
     [[nodiscard]] bool has_free_slot() const { return running_.size() < slots_; }
     [[nodiscard]] std::chrono::nanoseconds estimate_wait(std::size_t position) const;
     [[nodiscard]] const service_time& service_time_of(std::uint64_t work_class) const;
-    [[nodiscard]] std::chrono::nanoseconds padded_service_time(std::uint64_t work_class) const;
+    [[nodiscard]] std::chrono::nanoseconds required_service_time(std::uint64_t work_class) const;
     [[nodiscard]] bool may_finish_in_time(const admission_request& request, steady_time now) const;
     [[nodiscard]] static bool precedes(const queued_request& left, const queued_request& right);
     [[nodiscard]] std::size_t find_position(const queued_request& entry) const;
--- a/tests/servers/admission/ranked_demand_test.cpp
+++ b/tests/servers/admission/ranked_demand_test.cpp
@@ -135,6 +135,49 @@
     BOOST_TEST(change.admitted == std::vector<ticket_id>{on_time}, boost::test_tools::per_element());
 }
 
+// Pattern: a queue full of less urgent requests of the same account. Guards against an urgent request that is
+// refused while less urgent ones wait.
+BOOST_AUTO_TEST_CASE(urgent_request_replaces_a_less_urgent_one_in_a_full_queue) {
+    manual_time_source clock;
+    admission_queue queue(clock, {.slots = 4, .max_queued = 8, .max_wait = 60s});
+    const auto offer = [&](ticket_id ticket, std::uint32_t rank) {
+        return queue.offer(ticket, {.deadline = clock.now() + 60s, .rank = rank});
+    };
+    for (ticket_id ticket = 1; ticket <= 12; ++ticket) {
+        offer(ticket, 2);
+    }
+    BOOST_TEST((offer(13, 2).outcome == offer_outcome::refused));
+    const offer_result urgent = offer(14, 0);
+    BOOST_TEST((urgent.outcome == offer_outcome::queued));
+    BOOST_REQUIRE(urgent.dropped.size() == 1U);
+    BOOST_TEST(urgent.dropped[0].ticket == 12U);
+    BOOST_TEST(queue.release(1).admitted == std::vector<ticket_id>{14}, boost::test_tools::per_element());
+    for (ticket_id ticket = 15; ticket <= 22; ++ticket) {
+        offer(ticket, 0);
+    }
+    BOOST_TEST((offer(23, 0).outcome == offer_outcome::refused));
+}
+
+// Pattern: a route is added while all slots are busy with slow requests. Guards against requests of a route
+// without history that are refused because requests of other routes take long and vary.
+BOOST_AUTO_TEST_CASE(request_of_a_new_route_is_queued_in_front) {
+    queue_with_estimates fixture;
+    std::vector<ticket_id> running;
+    for (int i = 0; i < 4; ++i) {
+        running.push_back(fixture.next_ticket);
+        fixture.offer_lookup();
+    }
+    fixture.offer_lookup();
+    constexpr std::uint64_t new_class = 3;
+    const ticket_id added = fixture.next_ticket++;
+    const offer_result result = fixture.queue.offer(
+        added, {.deadline = fixture.clock.now() + 900ms, .rank = 0, .work_class = new_class});
+    BOOST_TEST((result.outcome == offer_outcome::queued));
+    fixture.clock.advance(100ms);
+    BOOST_TEST(fixture.queue.release(running[0]).admitted == std::vector<ticket_id>{added},
+               boost::test_tools::per_element());
+}
+
 struct busy_case {
     const char* name;
     bool may_queue;
