Read on in the store after records and keys that other writers made unreadable

A page of the newest records whose records were all unreadable ended the reading, so that a starting node missed every later one; the key to continue after went into the query as it was, so that a key with a space or a line break broke each request; and a key that is not UTF-8 made the whole page unreadable. Tests: the table of odd pages, keys and numbers in store_client_test.

--- a/drivers/http/admin_server.cpp
+++ b/drivers/http/admin_server.cpp
@@ -160,6 +160,22 @@
     }
 }
 
+std::string encode_query_component(std::string_view text) {
+    constexpr std::string_view unreserved =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char byte : text) {
+        const auto value = static_cast<unsigned char>(byte);
+        if (unreserved.find(byte) != std::string_view::npos) {
+            result.push_back(byte);
+        } else {
+            result.append({'%', digits[value >> 4U], digits[value & 0xfU]});
+        }
+    }
+    return result;
+}
+
 std::string decode_query_component(std::string_view text) {
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
--- a/drivers/http/admin_server.h
+++ b/drivers/http/admin_server.h
@@ -56,6 +56,9 @@
 /// Decodes percent escapes and plus signs of one query component; an invalid escape is left unchanged.
 std::string decode_query_component(std::string_view text);
 
+/// Encodes a text for use in a query: every byte but letters, digits and "-._~" becomes %XX.
+std::string encode_query_component(std::string_view text);
+
 /// Parses the query of a request target: the text after the question mark.
 std::map<std::string, std::string> parse_query(std::string_view text);
 
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -67,6 +67,17 @@
     {"more pages", R"({"items":[{"key":"a","value":"b25l","offset":4}],"more":true,"end":6})", true, 1, true},
     {"unreadable value", R"({"items":[{"key":"a","value":"%%","offset":4}],"more":false,"end":6})", true, 0,
      false},
+    {"key that is not UTF-8",
+     "{\"items\":[{\"key\":\"\xff\",\"value\":\"b25l\",\"offset\":4},"
+     "{\"key\":\"a\",\"value\":\"b25l\",\"offset\":5}],\"more\":false,\"end\":6}",
+     true, 2, false},
+    {"offset that is too large",
+     R"({"items":[{"key":"a","value":"b25l","offset":1e400},{"key":"b","value":"b25l","offset":5}],"more":true,"end":6})",
+     true, 1, true},
+    {"offset that is negative", R"({"items":[{"key":"a","value":"b25l","offset":-1}],"more":false,"end":6})",
+     true, 0, false},
+    {"value that is nested deeply",
+     R"({"items":[{"key":"a","value":[[[[[[[[1]]]]]]]],"offset":4}],"more":false,"end":6})", true, 0, false},
     {"no list", R"({"more":false,"end":6})", false, 0, false},
     {"no end", R"({"items":[]})", false, 0, false},
     {"not JSON", "<html>", false, 0, false},
@@ -100,6 +111,43 @@
     }
 }
 
+struct last_key_case {
+    const char* name;
+    std::string answer;
+    std::string last_key;
+};
+
+std::ostream& operator<<(std::ostream& out, const last_key_case& value) {
+    return out << value.name;
+}
+
+const std::vector<last_key_case> last_key_cases{
+    {"readable record", R"({"items":[{"key":"a","value":"b25l","offset":4}],"more":true,"end":6})", "a"},
+    {"unreadable last record",
+     R"({"items":[{"key":"a","value":"b25l","offset":4},{"key":"b","value":"%%","offset":5}],"more":true,"end":6})",
+     "b"},
+    {"only unreadable records", R"({"items":[{"key":"c","value":7,"offset":4}],"more":true,"end":6})", "c"},
+    {"record without a key",
+     R"({"items":[{"key":"a","value":"","offset":4},{"offset":5}],"more":true,"end":6})", "a"},
+};
+
+// Guards against a reader that stops at a page whose records another writer made unreadable: all records of
+// later pages would be missing.
+BOOST_DATA_TEST_CASE(reading_goes_on_after_unreadable_records, boost::unit_test::data::make(last_key_cases),
+                     row) {
+    const auto page = decode_newest_page(row.answer);
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page->last_key == row.last_key);
+}
+
+// Guards against a key of another writer that breaks the request for the next page, so that each read fails.
+BOOST_AUTO_TEST_CASE(odd_keys_are_encoded_in_the_query) {
+    BOOST_TEST(newest_page_query("t", "") == "topic=t&part=0");
+    BOOST_TEST(newest_page_query("t", "node-1.a_b~") == "topic=t&part=0&after=node-1.a_b~");
+    BOOST_TEST(newest_page_query("t", "a&b c\r\nX: 1\xff") ==
+               "topic=t&part=0&after=a%26b%20c%0D%0AX%3A%201%FF");
+}
+
 // Guards against a record that other readers of the topic cannot decode.
 BOOST_AUTO_TEST_CASE(records_are_framed_by_length_and_key) {
     BOOST_TEST(encode_record("ab", "c") == std::string("\0\0\0\4\2abc", 8));
