--- a/main/node/main.cpp
+++ b/main/node/main.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <string>
 
+#include "absl/debugging/failure_signal_handler.h"
+#include "absl/debugging/symbolize.h"
 #include "core/clock.h"
 #include "core/event_log.h"
 #include "drivers/settings/node_settings.h"
@@ -21,6 +23,15 @@
     bool check_only = false;
 };
 
+/// Writes the signal and the stack to standard error when the process ends by a signal such as SIGSEGV.
+void report_fatal_signals(const char* program) {
+    absl::InitializeSymbolizer(program);
+    absl::FailureSignalHandlerOptions options;
+    // An alarm would end a process that is paused while it writes the stack.
+    options.alarm_on_failure_secs = 0;
+    absl::InstallFailureSignalHandler(options);
+}
+
 int run_node(const command_line_options& command_line) {
     settings_file file(command_line.settings_path);
     const settings_result loaded = file.load();
@@ -53,6 +64,7 @@
 }  // namespace teaselpitch
 
 int main(int argc, char** argv) {
+    teaselpitch::report_fatal_signals(argv[0]);
     CLI::App app{"teaselpitch node: proxies the requests of callers and guards its local targets"};
     teaselpitch::command_line_options command_line;
     app.set_version_flag("--version", TEASELPITCH_VERSION);
