--- a/core/rcu_cell.h
+++ b/core/rcu_cell.h
@@ -20,6 +20,25 @@
 void* exchange(void** pointer, void* value);
 }  // namespace rcu
 
+/// A value that was read from an rcu_cell; keeps it alive.
+///
+/// A temporary cannot be dereferenced to a reference: `for (x : *cell.read())` would destroy the temporary
+/// before the first iteration, and an update in another thread would free the value under the loop.
+template <typename T>
+class rcu_snapshot {
+public:
+    explicit rcu_snapshot(std::shared_ptr<const T> value) : value_(std::move(value)) {}
+
+    const T& operator*() const& { return *value_; }
+    const T& operator*() const&& = delete;
+    /// Valid until the end of the full expression when used on a temporary.
+    const T* operator->() const { return value_.get(); }
+    operator std::shared_ptr<const T>() const { return value_; }
+
+private:
+    std::shared_ptr<const T> value_;
+};
+
 /// Holds an immutable value that many threads read without a lock and few threads replace as a whole.
 ///
 /// A reader copies a shared pointer in a read-side critical section, so the value stays valid across
@@ -34,11 +53,11 @@
     ~rcu_cell() { delete static_cast<std::shared_ptr<const T>*>(slot_); }
 
     /// Returns the current value.
-    [[nodiscard]] std::shared_ptr<const T> read() const {
+    [[nodiscard]] rcu_snapshot<T> read() const {
         rcu::read_lock();
         std::shared_ptr<const T> value = *static_cast<const std::shared_ptr<const T>*>(rcu::load(&slot_));
         rcu::read_unlock();
-        return value;
+        return rcu_snapshot<T>(std::move(value));
     }
 
     /// Replaces the value and frees the old one after a grace period.
--- a/modules/node/admin_api.cpp
+++ b/modules/node/admin_api.cpp
@@ -67,7 +67,8 @@
 
 json::array services_to_json(const node_context& context) {
     json::array services;
-    for (const auto& [name, router] : *context.services.all()) {
+    const auto routers = context.services.all();
+    for (const auto& [name, router] : *routers) {
         json::array targets;
         name_map<registered_target> registered;
         for (registered_target& target : router->targets()) {
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -381,7 +381,8 @@
         // within the zone. The bridges carry it to the other zones.
         fleet_.gossip(fact);
         const std::string payload = verdict->SerializeAsString();
-        for (const auto& [name, address] : *context_.nodes.read()) {
+        const auto nodes = context_.nodes.read();
+        for (const auto& [name, address] : *nodes) {
             if (name != context_.self.name && address.zone == context_.settings.availability_zone) {
                 spawn(send_verdict(address.peer, payload), "verdict");
             }
@@ -390,7 +391,8 @@
 }
 
 void control_plane::apply_verdict(const wire::VerdictFact& fact) {
-    for (const auto& [service, router] : *context_.services.all()) {
+    const auto services = context_.services.all();
+    for (const auto& [service, router] : *services) {
         if (router->node_of(fact.target()) == fact.origin_node()) {
             router->on_gossiped_verdict(fact.target(), fact.badness());
         }
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -71,7 +71,8 @@
 }
 
 awaitable<void> control_plane::fetch_table() {
-    for (const auto& [name, address] : *context_.nodes.read()) {
+    const auto nodes = context_.nodes.read();
+    for (const auto& [name, address] : *nodes) {
         if (name != context_.self.name) {
             spawn(fetch_table_from(address.peer), "fetch_table_from");
         }
--- a/modules/node/service_directory.cpp
+++ b/modules/node/service_directory.cpp
@@ -21,14 +21,16 @@
     auto created = std::make_shared<service_router>(
         clock_, service, options_, seed_source_(), decisions_, [this, service] { shares_changed_(service); },
         retries_);
-    auto next = std::make_shared<router_map>(*routers_.read());
+    const auto routers = routers_.read();
+    auto next = std::make_shared<router_map>(*routers);
     next->emplace(service, created);
     routers_.update(std::move(next));
     return *created;
 }
 
 void service_directory::on_tick() {
-    for (const auto& [service, router] : *routers_.read()) {
+    const auto routers = routers_.read();
+    for (const auto& [service, router] : *routers) {
         router->on_tick();
     }
 }
--- a/modules/node/service_directory.h
+++ b/modules/node/service_directory.h
@@ -30,7 +30,7 @@
 
     // Queries for any thread.
     [[nodiscard]] std::shared_ptr<service_router> find(std::string_view service) const;
-    [[nodiscard]] std::shared_ptr<const router_map> all() const { return routers_.read(); }
+    [[nodiscard]] rcu_snapshot<router_map> all() const { return routers_.read(); }
 
 private:
     const time_source& clock_;
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -324,13 +324,15 @@
 }
 
 void target_manager::on_queue_tick() {
-    for (const auto& [name, target] : *targets_.read()) {
+    const auto targets = targets_.read();
+    for (const auto& [name, target] : *targets) {
         target->guarded().on_tick();
     }
 }
 
 void target_manager::on_detection_tick() {
-    for (const auto& [name, target] : *targets_.read()) {
+    const auto targets = targets_.read();
+    for (const auto& [name, target] : *targets) {
         target->outlier_detector().on_tick();
         target->guarded().set_outlier_score(target->outlier_detector().outlier_score());
     }
@@ -367,7 +369,8 @@
 
 double target_manager::retry_share() const {
     double largest = 0;
-    for (const auto& [name, target] : *targets_.read()) {
+    const auto targets = targets_.read();
+    for (const auto& [name, target] : *targets) {
         largest = std::max(largest, target->retry_share());
     }
     return largest;
@@ -459,7 +462,8 @@
 
 std::vector<std::shared_ptr<managed_target>> target_manager::all() const {
     std::vector<std::shared_ptr<managed_target>> result;
-    for (const auto& [name, target] : *targets_.read()) {
+    const auto targets = targets_.read();
+    for (const auto& [name, target] : *targets) {
         result.push_back(target);
     }
     return result;
@@ -468,7 +472,8 @@
 std::shared_ptr<managed_target> target_manager::least_loaded(std::string_view service) const {
     std::shared_ptr<managed_target> best;
     double best_load = std::numeric_limits<double>::max();
-    for (const auto& [name, target] : *targets_.read()) {
+    const auto targets = targets_.read();
+    for (const auto& [name, target] : *targets) {
         const admission_load load = target->guarded().load();
         if (target->guarded().service() != service || load.state != admission_state::open) {
             continue;
