--- a/tests/core/rcu_cell_test.cpp
+++ b/tests/core/rcu_cell_test.cpp
@@ -48,6 +48,7 @@
     rcu_cell<std::vector<int>> cell(std::make_shared<const std::vector<int>>(64, 0));
     std::atomic<bool> mixed{false};
     std::vector<std::thread> readers;
+    readers.reserve(2);
     for (int i = 0; i < 2; ++i) {
         readers.emplace_back([&] {
             for (int round = 0; round < 2000; ++round) {
