--- a/tests/drivers/http/endless_answers_test.cpp
+++ b/tests/drivers/http/endless_answers_test.cpp
@@ -5,6 +5,7 @@
 #include <ostream>
 
 #include "tests/drivers/http/fake_target.h"
+#include "tests/drivers/http/test_dialect.h"
 
 namespace teaselpitch::testing {
 namespace {
@@ -16,15 +17,6 @@
 // to spare.
 constexpr std::size_t socket_buffer_allowance = std::size_t{32} << 20;
 
-http_dialect make_test_dialect() {
-    http_dialect dialect;
-    dialect.request_id_field = "Attempt";
-    dialect.not_executed_field = "Not-Done";
-    dialect.answer_seal_field = "Seal";
-    dialect.answers_echo_request_id = true;
-    return dialect;
-}
-
 struct endless_case {
     const char* name;
     std::string start;     ///< Sent once.
--- a/tests/drivers/http/target_dialect_test.cpp
+++ b/tests/drivers/http/target_dialect_test.cpp
@@ -4,22 +4,11 @@
 #include <ostream>
 
 #include "tests/drivers/http/fake_target.h"
+#include "tests/drivers/http/test_dialect.h"
 
 namespace teaselpitch::testing {
 namespace {
 
-http_dialect make_test_dialect() {
-    http_dialect dialect;
-    dialect.request_id_field = "Attempt";
-    dialect.timeout_ms_field = "Left-Ms";
-    dialect.expected_target_field = "Wanted";
-    dialect.caller_service_field = "Origin";
-    dialect.not_executed_field = "Not-Done";
-    dialect.answer_seal_field = "Seal";
-    dialect.answers_echo_request_id = true;
-    return dialect;
-}
-
 struct dialect_case {
     const char* name;
     std::string answer;
