--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -385,7 +385,7 @@
         self.store = Store(record)
         self.nodes = []
 
-    async def start(self, plan, config, on_run=None, work_s=0.05):
+    async def start(self, plan, config, on_run=None, work_s=0.05, slots=4):
         """`plan` lists the service of each machine. Returns when all nodes are ready and know each other."""
         await self.store.start()
         await self.store.put_config(1, config)
@@ -393,7 +393,7 @@
         for index, service in enumerate(plan):
             ip = f"127.0.{20 + index // 200}.{1 + index % 200}"
             zone = zones[index % len(zones)]
-            backend = Backend(self.record, service, zone, ip, on_run=on_run, work_s=work_s)
+            backend = Backend(self.record, service, zone, ip, slots, on_run, work_s)
             self.nodes.append(Node(self.record, self.store, self.folder, f"sidecar-{zone}-{index}", zone, backend, ip))
         await asyncio.gather(*(node.start() for node in self.nodes))
         await asyncio.gather(*(node.backend.start() for node in self.nodes))
