--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,9 +7,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import fleet as lib
 
+# The bounds of the site that differ from those of the library.
+lib.BOUNDS |= {"drainMs": 2500, "ackMs": 5000, "catchUpS": 6, "configApplyMs": 2500, "retryBudgetSlack": 156}
 HOST = "contratos.example"
 SERVICE = "contratos"
-BACKENDS = 26
+BACKENDS, SLOTS = 26, 8
 DOWN_S = 5  # The backend is back after some seconds, as a new incarnation with a new id.
 INTERVAL_S = 0.8
 SENDS = 16
@@ -52,7 +54,8 @@
 
     config = [lib.route("r-pagar", HOST, "/pagar/", "unsafe", SERVICE),
               lib.route("r-modelo", HOST, "/modelo/", "safe", SERVICE)]
-    await fleet.start([SERVICE] * BACKENDS, config + lib.services(SERVICE) + lib.limits(), on_run=run)
+    await fleet.start([SERVICE] * BACKENDS, config + lib.services(SERVICE) + lib.limits(), on_run=run,
+                      slots=SLOTS)
     traffic = asyncio.create_task(sound_traffic())
     await asyncio.sleep(2)
     for number in range(SENDS):
