--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 HOST = "vitrine.example"
 SERVICE = "vitrine"
-BACKENDS = 6
+BACKENDS = 10
 WORK_S = {"catalogo": 0.43, "pedido": 1.3}
 FIRST_PATH, ADDED_PATH = "/catalogo/{}", "/novidades/lista"
 FLAP_GAP_S, FLAP_FOR_S = 1.4, 6.5
@@ -43,11 +43,11 @@
         status, _, _ = await lib.send(record, node, "GET", path, HOST, f"{kind}-{number}", deadline_ms=15000)
         answers.append((kind, sent, status))
 
-    loads = [asyncio.create_task(traffic("first", FIRST_PATH, 0.25))]
+    loads = [asyncio.create_task(traffic("first", FIRST_PATH, 0.5))]
     await asyncio.sleep(2)
     await fleet.store.put_config(2, first + added + common)
     await asyncio.sleep(lib.BOUNDS["configApplyMs"] / 1000)
-    loads.append(asyncio.create_task(traffic("added", ADDED_PATH, 1 / 15)))
+    loads.append(asyncio.create_task(traffic("added", ADDED_PATH, 1 / 29)))
     await asyncio.sleep(2)
 
     end = record.now() + FLAP_FOR_S
