Select a route with a trailing slash only for paths that have it

Cause: the route index removed the trailing slash of each prefix, so the prefix "/pedidos/" of an idempotent route also selected the path "/pedidos" of the route "/". The request took the kind, service, attempts and timeout of the wrong route and was sent again after a lost answer.

Prefixes are kept as written; the lookup tries each parent path with its slash and without it. A prefix without a trailing slash selects the same paths as before. No other place compares paths with prefixes.

--- a/servers/routing/route_index.cpp
+++ b/servers/routing/route_index.cpp
@@ -15,16 +15,13 @@
     return path.substr(0, path.find_first_of("?#"));
 }
 
-std::string_view strip_trailing_slashes(std::string_view prefix) {
-    while (prefix.ends_with('/')) {
-        prefix.remove_suffix(1);
-    }
-    return prefix;
-}
-
-// Returns the next shorter prefix, cut before the last slash.
+// Returns the next shorter prefix that ends at a segment boundary: "/a/b" becomes "/a/", and "/a/" becomes
+// "/a".
 std::string_view parent_prefix(std::string_view prefix) {
-    return prefix.substr(0, prefix.rfind('/'));
+    if (prefix.ends_with('/')) {
+        return prefix.substr(0, prefix.size() - 1);
+    }
+    return prefix.substr(0, prefix.rfind('/') + 1);
 }
 
 }  // namespace
@@ -40,10 +37,9 @@
     routes_.reserve(routes.size());
     for (const route_entry& route : routes) {
         host_routes& host = hosts_[absl::AsciiStrToLower(route.host)];
-        std::string prefix{strip_trailing_slashes(route.path_prefix)};
-        host.longest_prefix = std::max(host.longest_prefix, prefix.size());
+        host.longest_prefix = std::max(host.longest_prefix, route.path_prefix.size());
         const auto position = static_cast<std::uint32_t>(routes_.size());
-        if (host.by_prefix.emplace(std::move(prefix), position).second) {
+        if (host.by_prefix.emplace(route.path_prefix, position).second) {
             routes_.push_back(route);
         }
     }
@@ -83,9 +79,9 @@
     // Starting at the longest registered prefix bounds the work for paths with thousands of segments.
     std::string_view prefix = path;
     if (prefix.size() > candidates.longest_prefix) {
-        const bool at_boundary = prefix[candidates.longest_prefix] == '/';
+        const bool segment_continues = prefix[candidates.longest_prefix] != '/';
         prefix = prefix.substr(0, candidates.longest_prefix);
-        prefix = at_boundary ? prefix : parent_prefix(prefix);
+        prefix = segment_continues && !prefix.ends_with('/') ? parent_prefix(prefix) : prefix;
     }
     while (true) {
         const auto found = candidates.by_prefix.find(prefix);
--- a/servers/routing/route_index.h
+++ b/servers/routing/route_index.h
@@ -23,8 +23,9 @@
 
 /// One route of the table.
 struct route_entry {
-    std::string host;         ///< Host without port, case-insensitive; "*" matches any host.
-    std::string path_prefix;  ///< Starts with a slash; trailing slashes are ignored.
+    std::string host;  ///< Host without port, case-insensitive; "*" matches any host.
+    std::string
+        path_prefix;  ///< Starts with a slash. "/a/" selects "/a/" and the paths below it, "/a" also "/a".
     std::string service;
     idempotency_rule rule = idempotency_rule::automatic;
     std::chrono::milliseconds timeout{0};
@@ -52,7 +53,8 @@
 /// Immutable index from host and path to route. Threads share it without a lock.
 ///
 /// An exact host is searched before "*". When none of its prefixes matches, the prefixes of "*" are searched.
-/// Of two routes with the same host and prefix, the first one applies.
+/// Of two routes with the same host and prefix, the first one applies. A prefix with a trailing slash is
+/// longer than the same prefix without it.
 class route_index {
 public:
     explicit route_index(std::span<const route_entry> routes);
