Let a stopping node use the whole grace time of the platform

Cause: deploy/node.yaml named 5,500 ms as the longest stop of every deployment, and the node took the lesser of this and 11/12 of store.drain_limit_ms. That fits a grace time of 6 s only.

drain_schedule, a class without clock or network, now works out the times of a stop. With a store only store.drain_limit_ms decides; times.drain_timeout_ms limits the stop of nodes without a store. drain_started logs the times. Limits below 5.4 s had the same fault for another reason: the margin for the last answers is constant and left less than the last sixth.

--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -163,17 +163,22 @@
 
 awaitable<void> node::drain() {
     using namespace boost::asio::experimental::awaitable_operators;
-    // Leaves time for the last answers to reach their callers before the process ends.
-    constexpr std::chrono::milliseconds answer_margin{450};
     const steady_time start = context_.clock.now();
-    const steady_time end = start + drain_time_limit();
-    const steady_time answer_deadline = end - answer_margin;
-    context_.answer_deadline = answer_deadline;
+    context_.drain_start = start;
     context_.draining = true;
-    log_event(event_level::info, "drain_started", {{"node", context_.self.name}});
+    const drain_schedule schedule = context_.stop_schedule().value();
+    const auto milliseconds_from_start = [start](steady_time when) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(when - start).count();
+    };
+    log_event(event_level::info, "drain_started",
+              {{"node", context_.self.name},
+               {"accept_ms", milliseconds_from_start(schedule.accept_until)},
+               {"answer_ms", milliseconds_from_start(schedule.answer_deadline)},
+               {"exit_ms", milliseconds_from_start(schedule.exit_by)}});
     co_await control_plane_.announce_drain();
-    boost::asio::steady_timer drain_timer(control_io_, end - context_.clock.now());
-    boost::asio::steady_timer answer_deadline_timer(control_io_, answer_deadline - context_.clock.now());
+    boost::asio::steady_timer drain_timer(control_io_, schedule.exit_by - context_.clock.now());
+    boost::asio::steady_timer answer_deadline_timer(control_io_,
+                                                    schedule.answer_deadline - context_.clock.now());
     answer_deadline_timer.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled) {
             end_exchanges();
@@ -190,16 +195,6 @@
               {{"node", context_.self.name}, {"everything_finished", finished.index() == 0}});
 }
 
-// The platform kills the process at its drain limit, and requests on connections that are still open then get
-// no answer.
-std::chrono::milliseconds node::drain_time_limit() const {
-    constexpr int parts = 12;  // The last part is reserved for the exit of the process.
-    if (!settings_.store) {
-        return settings_.drain_timeout;
-    }
-    return std::min(settings_.drain_timeout, settings_.store->drain_limit / parts * (parts - 1));
-}
-
 void node::end_exchanges() {
     for (std::size_t i = 0; i < node_shards_.size(); ++i) {
         boost::asio::post(shard_threads_.context(i), [this, i] { node_shards_[i]->end_exchanges(); });
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -36,8 +36,6 @@
     void reload_settings(std::string_view reason);
     awaitable<void> drain();
     awaitable<void> drain_shard(std::size_t index);
-    /// Returns the longest time from the drain request to the exit of the process.
-    [[nodiscard]] std::chrono::milliseconds drain_time_limit() const;
     void end_exchanges();
     void set_caller_limits(const caller_limits& limits);
     control_handler make_control_handler();
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -64,4 +64,14 @@
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings)),
       accounts(clock, self, [this] { return routing.read(); }) {}
 
+std::optional<drain_schedule> node_context::stop_schedule() const {
+    if (!draining) {
+        return std::nullopt;
+    }
+    // The platform kills the process at its drain limit, and requests on connections that are still open then
+    // get no answer.
+    return settings.store ? plan_drain_before_kill(drain_start, settings.store->drain_limit)
+                          : plan_drain(drain_start, settings.drain_timeout);
+}
+
 }  // namespace teaselpitch
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,7 @@
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
 #include "modules/node/target_manager.h"
+#include "servers/admission/drain_schedule.h"
 #include "servers/exchange/http_dialect.h"
 #include "servers/health/path_fault_detector.h"
 #include "servers/records/decision_log.h"
@@ -58,13 +60,15 @@
     target_manager targets;
     account_limits accounts;
     std::atomic<bool> draining{false};
-    std::atomic<steady_time> answer_deadline{
-        steady_time{}};  ///< Time by which every request must be answered. Valid while draining.
+    std::atomic<steady_time> drain_start{steady_time{}};  ///< Valid while draining.
     std::atomic<bool> has_configuration{
         true};  ///< False while a node with the platform's store waits for its first configuration.
     std::atomic<ticket_id> next_ticket{1};
     std::atomic<std::uint64_t> next_request_number{1};
 
+    /// Returns the times of the planned stop; empty while the node is not stopping.
+    [[nodiscard]] std::optional<drain_schedule> stop_schedule() const;
+
     /// Called with each change of a guarded target, which is then announced to the other nodes. Must be set
     /// before the threads start.
     std::function<void(const managed_target_fact&)> target_changed;
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -137,7 +137,8 @@
     ingress_hooks hooks;
     hooks.check_ready = [this] { return router_.check_ready(); };
     hooks.answer_deadline = [this]() -> std::optional<steady_time> {
-        return context_.draining ? std::optional(context_.answer_deadline.load()) : std::nullopt;
+        const std::optional<drain_schedule> schedule = context_.stop_schedule();
+        return schedule ? std::optional(schedule->answer_deadline) : std::nullopt;
     };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
