Refuse requests that a stopping node cannot finish

Operators of similar systems report requests that come late in the grace time of a stop, are passed on and cut at its end, non-idempotent ones among them. It could happen here: a stopping node accepted every request on an open connection and only shortened its deadline to its own end.

Others are refused as not run, before their body is read, with a Retry-After that ends with the process.

--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -140,6 +140,9 @@
         const std::optional<drain_schedule> schedule = context_.stop_schedule();
         return schedule ? std::optional(schedule->answer_deadline) : std::nullopt;
     };
+    hooks.admit_while_stopping = [this](const request_head& head) {
+        return router_.admit_while_stopping(head);
+    };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
     hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -67,6 +67,16 @@
     return decision;
 }
 
+refusal request_router::admit_while_stopping(const request_head& head) const {
+    const steady_time now = context_.clock.now();
+    const std::optional<drain_schedule> schedule = context_.stop_schedule();
+    if (!schedule || schedule->accepts(now, head.deadline)) {
+        return {};
+    }
+    return {error_kind::node_draining, "the node stops before the request could be finished",
+            std::chrono::duration_cast<std::chrono::milliseconds>(schedule->exit_by - now)};
+}
+
 refusal request_router::admit(const request_head& head) {
     if (context_.targets.quarantine().is_quarantined(head.fingerprint)) {
         return {error_kind::quarantined, "requests with the same fingerprint crashed several targets",
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -18,6 +18,8 @@
     [[nodiscard]] std::optional<route_decision> find_route(const request_head& head) const;
 
     // Commands.
+    /// Refuses a request that arrives too late in a planned stop to be finished.
+    [[nodiscard]] refusal admit_while_stopping(const request_head& head) const;
     /// Checks the quarantine and the account's rate limit.
     refusal admit(const request_head& head);
     choice_or_refusal<route_choice> choose(const request_head& head, std::span<const std::string> tried);
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -103,6 +103,12 @@
         head.objective = arrival + route->objective;
     }
     state.max_sends = route->attempts;
+    if (hooks_.admit_while_stopping) {
+        const refusal stopping = hooks_.admit_while_stopping(head);
+        if (stopping.error != error_kind::none) {
+            co_return make_refusal_result(stopping);
+        }
+    }
     if (head.has_body) {
         const absl::Status read_status = co_await body.read_ahead();
         if (!read_status.ok()) {
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -84,6 +84,9 @@
     /// when it never stops.
     std::function<std::optional<steady_time>()> answer_deadline = nullptr;
     std::function<std::optional<route_decision>(const request_head&)> find_route;
+    /// Returns the refusal of a request, whose deadline is known, that a stopping node can't finish. Null
+    /// when the node never stops.
+    std::function<refusal(const request_head&)> admit_while_stopping = nullptr;
     std::function<refusal(const request_head&)> admit;  ///< Checks account limits and the quarantine.
     std::function<choice_or_refusal<route_choice>(const request_head&, std::span<const std::string> tried)>
         choose;
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -220,6 +220,29 @@
     BOOST_TEST((deadlines.at(0) == start + row.attempt_time));
 }
 
+// Guards against a request that a stopping node accepts although it cannot finish it: its body is not read,
+// no target gets it, and the caller is told when to come back.
+BOOST_AUTO_TEST_CASE(stopping_node_refuses_what_it_cannot_finish) {
+    scripted_fleet fleet;
+    ingress_hooks hooks = fleet.hooks();
+    std::optional<steady_time> checked_deadline;
+    hooks.admit_while_stopping = [&](const request_head& head) {
+        checked_deadline = head.deadline;
+        return refusal{error_kind::node_draining, "stopping", 2500ms};
+    };
+    ingress entry(fleet.clock, {}, hooks);
+    chunked_text_body body("a deposit of 40 reais");
+    recording_writer answer;
+    const exchange_result result =
+        run_until_complete(entry.exchange(caller_request(fleet.clock), body, answer));
+    BOOST_TEST((result.error == error_kind::node_draining));
+    BOOST_TEST((result.execution == execution_state::not_run));
+    BOOST_TEST((result.retry_after == std::optional<std::chrono::milliseconds>(2500ms)));
+    BOOST_TEST((checked_deadline == fleet.clock.now() + 100ms));
+    BOOST_TEST(fleet.targets.empty());
+    BOOST_TEST(body.consumed() == 0U);
+}
+
 // Guards against a second run of a non-idempotent request, and against a missing retry when the retry is
 // safe.
 BOOST_DATA_TEST_CASE(retries_only_when_safe, boost::unit_test::data::make(retry_cases), sample) {
