Share crashes of targets between the nodes

Cause: the quarantine wants two crashes, but each node counted those of its own targets only and gossiped finished quarantines only.

crash_exchange gossips one fact for each crash, with the fingerprints in flight, and each node judges from all crashes. Three crashes are needed instead of two while targets crash without the fingerprint, because a request that is retried once meets two crashes by chance when many targets crash. Older nodes ignore the new fact.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -76,8 +76,14 @@
                   [this](const wire::QuarantineFact& fact) {
                       context_.targets.quarantine().on_quarantine(
                           {fact.fingerprint(), std::chrono::milliseconds{fact.remaining_ms()}});
-                  }}),
+                  },
+              .crash_received = [this](const wire::CrashFact& fact) { on_crash_fact(fact); }}),
       health_(context),
+      crashes_(context.clock, context.self, context.targets.quarantine(),
+               {.quarantined =
+                    [this](const std::string& service, const crash_report& crash) {
+                        context_.targets.record_quarantine(service, crash);
+                    }}),
       claims_(context.clock, slot_settings_of(context.settings), claim_options_of(context.settings),
               context.self, make_claim_hooks()),
       hooks_(std::move(shard_callbacks)) {
@@ -109,6 +115,7 @@
     spawn(run_periodically(detection_interval * factor, [this] { on_detection_tick(); }), "judge_tick");
     spawn(run_periodically(membership_interval * factor,
                            [this] {
+                               gossip_crash_evidence();
                                fleet_.on_tick();
                                update_services();
                            }),
@@ -219,7 +226,28 @@
     changed_services_.insert(fact.service);
 }
 
-void control_plane::on_quarantine(const std::string& service, std::uint64_t fingerprint) {
+void control_plane::on_local_crash(const std::string& service, const crash_report& crash) {
+    crashes_.on_local_crash(service, crash);
+    gossip_quarantine(service, crash.fingerprint);
+}
+
+void control_plane::gossip_crash_evidence() {
+    for (const wire::Fact& fact : crashes_.take_facts()) {
+        fleet_.gossip(fact);
+    }
+}
+
+void control_plane::on_crash_fact(const wire::CrashFact& fact) {
+    log_event(event_level::info, "crash_reported",
+              {{"target", fact.target()},
+               {"service", fact.service()},
+               {"origin", fact.origin_node()},
+               {"age_ms", fact.age_ms()},
+               {"fingerprints", fact.fingerprints_size()}});
+    crashes_.apply(fact);
+}
+
+void control_plane::gossip_quarantine(const std::string& service, std::uint64_t fingerprint) {
     for (const quarantined_fingerprint& known : context_.targets.quarantine().quarantines()) {
         if (known.fingerprint != fingerprint) {
             continue;
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -21,6 +21,7 @@
 #include "modules/node/node_context.h"
 #include "modules/node/node_platform.h"
 #include "modules/node/node_registration.h"
+#include "servers/health/crash_exchange.h"
 #include "servers/table/table_replica.h"
 
 namespace teaselpitch {
@@ -50,8 +51,8 @@
     /// Announces to the other nodes that this node has left.
     void leave() { fleet_.leave(); }
     void on_local_target(const managed_target_fact& fact);
-    /// Gossips a quarantine that was decided at this node.
-    void on_quarantine(const std::string& service, std::uint64_t fingerprint);
+    /// Gossips a crash of a local target, and the quarantine if this crash decided one.
+    void on_local_crash(const std::string& service, const crash_report& crash);
     /// Records whether a peer could be reached directly.
     void on_direct_result(const std::string& node, bool reached) { fleet_.on_direct_result(node, reached); }
     /// Handles a control call of another node. UNIMPLEMENTED for an unknown method, INVALID_ARGUMENT for a
@@ -104,6 +105,9 @@
     void publish_directory(node_directory directory);
     void update_services();
     void update_places(const std::string& service);
+    void gossip_quarantine(const std::string& service, std::uint64_t fingerprint);
+    void gossip_crash_evidence();
+    void on_crash_fact(const wire::CrashFact& fact);
     void publish_verdicts();
     void apply_verdict(const wire::VerdictFact& fact);
     awaitable<void> send_digest(outgoing_digest message);
@@ -122,6 +126,7 @@
     peer_pool peers_;
     fleet_membership fleet_;
     health_exchange health_;
+    crash_exchange crashes_;
     claim_manager claims_;
     std::set<std::string> changed_services_;  ///< Services whose targets changed since the last tick.
     bool nodes_changed_ = true;
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -38,9 +38,10 @@
         control_plane_.on_local_target(fact);
     };
     context_.target_crashed = [this](const gate_run& run, std::uint64_t fingerprint) {
-        context_.post_to_control_thread([this, service = run.head.service, fingerprint] {
-            control_plane_.on_quarantine(service, fingerprint);
-        });
+        context_.post_to_control_thread(
+            [this, service = run.head.service, target = run.target.identity(), fingerprint] {
+                control_plane_.on_local_crash(service, {fingerprint, target});
+            });
     };
 }
 
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -402,27 +402,32 @@
     if (!end.result.target_crashed) {
         return;
     }
-    const crash_verdict verdict = quarantine_.on_crash({fingerprint, end.run.target.identity()});
+    const crash_report crash{fingerprint, end.run.target.identity()};
+    const crash_verdict verdict = quarantine_.on_crash(crash);
     log_event(event_level::warning, "target_crash",
-              {{"target", end.run.target.identity().name},
+              {{"target", crash.target.name},
                {"request_id", end.run.head.request_id},
                {"fingerprint", fingerprint},
                {"quarantined", verdict == crash_verdict::quarantine}});
     if (verdict == crash_verdict::quarantine) {
-        decision_record record;
-        record.subject = decision_subject::service;
-        record.id = end.run.head.service;
-        record.service = end.run.head.service;
-        record.decision = "quarantined";
-        record.rule = "two crashes on different targets within the window";
-        record.evidence = {{"fingerprint", std::to_string(fingerprint)},
-                           {"request_id", end.run.head.request_id},
-                           {"target", end.run.target.identity().name}};
-        decisions_.add(std::move(record));
+        record_quarantine(end.run.head.service, crash);
     }
     hooks_.target_crashed(end.run, fingerprint);
 }
 
+void target_manager::record_quarantine(const std::string& service, const crash_report& crash) {
+    decision_record record;
+    record.subject = decision_subject::service;
+    record.id = service;
+    record.service = service;
+    record.decision = "quarantined";
+    record.rule = "crashes on different targets within the window";
+    record.evidence = {{"fingerprint", std::to_string(crash.fingerprint)}, {"target", crash.target.name}};
+    decisions_.add(std::move(record));
+    log_event(event_level::warning, "quarantined",
+              {{"service", service}, {"fingerprint", crash.fingerprint}, {"target", crash.target.name}});
+}
+
 void target_manager::assess_run(managed_target& target, const gate_run_end& end) {
     const request_outcome outcome = outcome_of(end.result, end.http_status);
     if (outcome != request_outcome::success) {
--- a/modules/node/target_manager.h
+++ b/modules/node/target_manager.h
@@ -148,6 +148,8 @@
     bool count_arrival(const request_head& head, const guarded_target& target);
     void on_run_started(const gate_run& run);
     void on_run_ended(const gate_run_end& end);
+    /// Records and logs a quarantine that this crash decided here.
+    void record_quarantine(const std::string& service, const crash_report& crash);
     crash_quarantine& quarantine() { return quarantine_; }
 
     // Queries for any thread.
--- a/servers/health/crash_quarantine.cpp
+++ b/servers/health/crash_quarantine.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t max_crashes_per_fingerprint = 4;
+// Crashes within this time may have one cause that is not a request.
+constexpr std::chrono::seconds unrelated_crash_window{10};
+constexpr std::size_t max_recent_crashes = 64;
 
 // Hashing the length as well keeps different splits of the same bytes into parts distinct.
 void hash_part(XXH3_state_t* state, const void* data, std::size_t size) {
@@ -41,10 +44,12 @@
 crash_verdict crash_quarantine::on_crash(const crash_report& crash, std::chrono::milliseconds age) {
     const std::lock_guard lock(mutex_);
     entry* item = find_or_add(crash.fingerprint);
-    add_crash(*item, {.target = crash.target, .occurred_at = clock_.now() - age});
+    const crash_time occurred{.target = crash.target, .occurred_at = clock_.now() - age};
+    add_crash(*item, occurred);
+    add_recent_crash(occurred);
     const std::uint32_t successes = estimate_successes(crash.fingerprint);
     const bool already_quarantined = is_quarantined_now(*item);
-    if (!already_quarantined && item->crashes.size() < 2) {
+    if (!already_quarantined && item->crashes.size() < required_crashes(*item)) {
         return crash_verdict::suspected;
     }
     if (!already_quarantined && (successes >= options_.successes_per_crash * item->crashes.size() ||
@@ -70,6 +75,24 @@
     }
 }
 
+void crash_quarantine::add_recent_crash(const crash_time& crash) {
+    std::erase_if(recent_crashes_, [&](const crash_time& recorded) {
+        return recorded.target == crash.target ||
+               clock_.now() - recorded.occurred_at > unrelated_crash_window;
+    });
+    recent_crashes_.push_back(crash);
+    if (recent_crashes_.size() > max_recent_crashes) {
+        recent_crashes_.pop_front();
+    }
+}
+
+std::size_t crash_quarantine::required_crashes(const entry& item) const {
+    const bool explains_all =
+        std::all_of(recent_crashes_.begin(), recent_crashes_.end(),
+                    [&](const crash_time& recorded) { return has_crash(item, recorded.target); });
+    return explains_all ? 2 : 3;
+}
+
 // Returns true when a quarantined fingerprint that never succeeds was in flight at the same crash. It is the
 // more likely cause.
 bool crash_quarantine::has_likelier_cause(const target_identity& crashed) const {
--- a/servers/health/crash_quarantine.h
+++ b/servers/health/crash_quarantine.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <mutex>
 #include <span>
 #include <string>
@@ -52,19 +53,20 @@
 };
 
 enum class crash_verdict : std::uint8_t {
-    suspected,  ///< Only one target incarnation crashed so far.
+    suspected,  ///< Too few target incarnations crashed so far.
     harmless,  ///< Several crashes, but the fingerprint also succeeds often or another one is the more likely
                ///< cause.
     quarantine,           ///< Quarantined by this crash; the other nodes must be notified.
     already_quarantined,  ///< Quarantined before this crash.
 };
 
-/// Detects requests that crash one target after another. Two crashes on different targets, or on two
-/// incarnations of one target, within the window quarantine the fingerprint. A harmless request that was
-/// retried together with the cause may be in flight at both crashes; when a fingerprint that never succeeds
-/// was in flight at the same crash, fingerprints that succeed are not quarantined. Memory is bounded by
-/// evicting the entry with the oldest crash. Safe to use from several threads; the lock is held for
-/// microseconds.
+/// Detects requests that crash one target after another, from the crashes of the whole fleet. Two crashes on
+/// different targets, or on two incarnations of one target, within the window quarantine the fingerprint;
+/// three while targets also crash without it, because a request that is retried then meets two crashes by
+/// chance. A harmless request that was retried together with the cause may be in flight at both crashes; when
+/// a fingerprint that never succeeds was in flight at the same crash, fingerprints that succeed are not
+/// quarantined. Memory is bounded by evicting the entry with the oldest crash. Safe to use from several
+/// threads; the lock is held for microseconds.
 class crash_quarantine {
 public:
     crash_quarantine(const time_source& clock, quarantine_options options);
@@ -99,6 +101,8 @@
     static constexpr std::size_t sketch_size = 4'096;
     using sketch = std::array<std::array<std::uint16_t, sketch_size>, 2>;
 
+    void add_recent_crash(const crash_time& crash);
+    [[nodiscard]] std::size_t required_crashes(const entry& item) const;
     [[nodiscard]] bool has_likelier_cause(const target_identity& crashed) const;
     [[nodiscard]] static bool has_crash(const entry& item, const target_identity& crashed);
     void add_crash(entry& item, const crash_time& crash) const;
@@ -113,6 +117,7 @@
     const quarantine_options options_;
     mutable std::mutex mutex_;
     std::unordered_map<std::uint64_t, entry> entries_;
+    std::deque<crash_time> recent_crashes_;  ///< One per target incarnation, the oldest first.
     sketch successes_{};
     steady_time halved_at_;
 };
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -37,13 +37,16 @@
             return "v:" + fact.verdict().target() + "/" + fact.verdict().origin_node();
         case wire::Fact::kQuarantine:
             return "q:" + std::to_string(fact.quarantine().fingerprint());
+        case wire::Fact::kCrash:
+            return "c:" + fact.crash().origin_node() + "/" + std::to_string(fact.crash().sequence());
         default:
             return node_subject(fact.node().name());
     }
 }
 
 bool is_urgent(const wire::Fact& fact) {
-    return fact.has_quarantine() || (fact.has_target() && fact.target().state() >= wire::TargetFact::LEAVING);
+    return fact.has_quarantine() || fact.has_crash() ||
+           (fact.has_target() && fact.target().state() >= wire::TargetFact::LEAVING);
 }
 
 wire::Fact to_fact(const member& value) {
@@ -161,6 +164,9 @@
         case wire::Fact::kQuarantine:
             zone = zone_of_node(fact.quarantine().origin_node());
             break;
+        case wire::Fact::kCrash:
+            zone = zone_of_node(fact.crash().origin_node());
+            break;
         default:
             zone = fact.node().availability_zone();
             break;
--- a/servers/membership/target_registry.cpp
+++ b/servers/membership/target_registry.cpp
@@ -130,6 +130,8 @@
             return apply_verdict(fact.verdict());
         case wire::Fact::kQuarantine:
             return apply_quarantine(fact.quarantine());
+        case wire::Fact::kCrash:
+            return apply_crash(fact.crash());
         default:
             return false;
     }
@@ -196,6 +198,18 @@
     return true;
 }
 
+bool target_registry::apply_crash(const wire::CrashFact& fact) {
+    const std::string key = fact.origin_node() + "/" + std::to_string(fact.origin_incarnation()) + "/" +
+                            std::to_string(fact.sequence());
+    if (fact.origin_node() == self_.name || !crashes_.try_emplace(key, clock_.now()).second) {
+        return false;
+    }
+    if (hooks_.on_crash) {
+        hooks_.on_crash(fact);
+    }
+    return true;
+}
+
 absl::StatusOr<std::optional<wire::Fact>> target_registry::announce(const target_announcement& announcement) {
     if (announcement.identity.name.empty() || announcement.service.empty() || announcement.slots == 0 ||
         announcement.state == announced_state::gone) {
@@ -286,6 +300,7 @@
                   [&](const auto& item) { return now - item.second.second > options_.gone_retention; });
     std::erase_if(quarantines_,
                   [&](const auto& item) { return now > item.second + options_.gone_retention; });
+    std::erase_if(crashes_, [&](const auto& item) { return now - item.second > options_.gone_retention; });
 }
 
 void target_registry::on_node_state(const node_identity& node, bool running) {
--- a/servers/membership/target_registry.h
+++ b/servers/membership/target_registry.h
@@ -56,6 +56,7 @@
     std::function<void(const target_view&)> on_change;         ///< A target appeared, changed or disappeared.
     std::function<void(const wire::VerdictFact&)> on_verdict;  ///< A new verdict was received.
     std::function<void(const wire::QuarantineFact&)> on_quarantine;  ///< A quarantine is new or was extended.
+    std::function<void(const wire::CrashFact&)> on_crash;            ///< A target of another node crashed.
 };
 
 /// Announced targets of all nodes. Facts about one target are ordered by incarnation, then sequence.
@@ -122,6 +123,7 @@
     bool apply_target(const wire::TargetFact& fact);
     bool apply_verdict(const wire::VerdictFact& fact);
     bool apply_quarantine(const wire::QuarantineFact& fact);
+    bool apply_crash(const wire::CrashFact& fact);
     std::uint32_t find_or_add_record(std::string_view name);
     std::uint32_t find_or_add_node(std::string_view name);
     std::uint32_t find_or_add_service(std::string_view name);
@@ -158,6 +160,8 @@
     std::map<std::string, std::pair<std::uint64_t, steady_time>> verdicts_;
     // End of each quarantine by fingerprint.
     std::map<std::uint64_t, steady_time> quarantines_;
+    // Time of receipt of each crash fact, by its origin and sequence.
+    std::map<std::string, steady_time> crashes_;
     steady_time next_sweep_;
 };
 
--- a/tests/servers/membership/target_registry_test.cpp
+++ b/tests/servers/membership/target_registry_test.cpp
@@ -218,6 +218,46 @@
     BOOST_TEST(quarantines == 2U);
 }
 
+// Guards against a crash that counts twice, an own crash that comes back, and a crash that is never passed
+// on.
+BOOST_AUTO_TEST_CASE(crashes_are_accepted_once) {
+    manual_time_source clock;
+    std::vector<std::uint64_t> received;
+    target_registry_hooks hooks;
+    hooks.on_crash = [&](const wire::CrashFact& fact) { received.push_back(fact.sequence()); };
+    target_registry targets(clock, {"a", 1}, {}, hooks);
+    wire::Fact fact;
+    wire::CrashFact& crash = *fact.mutable_crash();
+    crash.set_origin_node("b");
+    crash.set_origin_incarnation(1);
+    for (const std::uint64_t sequence : {2, 1, 2, 1}) {
+        crash.set_sequence(sequence);
+        targets.apply(fact);
+    }
+    crash.set_origin_incarnation(2);
+    BOOST_TEST(targets.apply(fact));
+    crash.set_origin_node("a");
+    BOOST_TEST(!targets.apply(fact));
+    BOOST_TEST(received == (std::vector<std::uint64_t>{2, 1, 1}), boost::test_tools::per_element());
+}
+
+// Guards against a crash that reaches the other nodes, also those of other zones, only after further crashes.
+BOOST_AUTO_TEST_CASE(crash_spreads_within_a_second) {
+    simulated_network network(100, 4, 23);
+    network.run_until([&] { return network.all_alive(); }, 30s);
+    network.loss = 0.02;
+    std::size_t received = 0;
+    network.on_crash = [&](const wire::CrashFact&) { ++received; };
+    wire::Fact fact;
+    wire::CrashFact& crash = *fact.mutable_crash();
+    crash.set_origin_node(simulated_network::node_name(9));
+    crash.set_origin_incarnation(1000);
+    crash.set_sequence(1);
+    network.send_output(9, network.nodes[9]->members->gossip(fact));
+    const auto took = network.run_until([&] { return received == network.nodes.size() - 1; }, 3s);
+    BOOST_TEST(took.count() <= 1000);
+}
+
 // Guards against unbounded retransmission, datagrams above the size limit, and new facts that are sent after
 // older ones.
 BOOST_AUTO_TEST_CASE(queue_is_bounded_and_newest_first) {
