Judge a quarantine by the successes of the whole fleet

Cause: a request that is asked for often runs at each crash of a flapping target. Only the successes at the node of that target counted in the verdict, and all other nodes took the verdict over.

Nodes report, once a second and until 12 successes are known, the complete answers that they counted since they learned of the crash; three nodes of 350 do in the test. The reports count in each verdict, outweigh a quarantine that another node declared, and end one that is in effect. They are exact counts: summed over many nodes, the collisions of the sketch could hide a request that does crash targets.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -77,12 +77,18 @@
                       context_.targets.quarantine().on_quarantine(
                           {fact.fingerprint(), std::chrono::milliseconds{fact.remaining_ms()}});
                   },
-              .crash_received = [this](const wire::CrashFact& fact) { on_crash_fact(fact); }}),
+              .crash_received = [this](const wire::CrashFact& fact) { on_crash_fact(fact); },
+              .success_received = [this](const wire::SuccessFact& fact) { crashes_.apply(fact); }}),
       health_(context),
       crashes_(context.clock, context.self, context.targets.quarantine(),
                {.quarantined =
                     [this](const std::string& service, const crash_report& crash) {
                         context_.targets.record_quarantine(service, crash);
+                    },
+                .released =
+                    [](std::uint64_t fingerprint, const std::string& origin) {
+                        log_event(event_level::info, "quarantine_ended",
+                                  {{"fingerprint", fingerprint}, {"reported_by", origin}});
                     }}),
       claims_(context.clock, slot_settings_of(context.settings), claim_options_of(context.settings),
               context.self, make_claim_hooks()),
@@ -115,7 +121,7 @@
     spawn(run_periodically(detection_interval * factor, [this] { on_detection_tick(); }), "judge_tick");
     spawn(run_periodically(membership_interval * factor,
                            [this] {
-                               gossip_crash_evidence();
+                               gossip_all(crashes_.take_crash_facts());
                                fleet_.on_tick();
                                update_services();
                            }),
@@ -142,6 +148,7 @@
 void control_plane::on_second_tick() {
     context_.targets.remove_expired_targets();
     context_.targets.quarantine().on_tick();
+    gossip_all(crashes_.take_success_facts());
     context_.path_detector.on_tick();
     fleet_.renew_targets();
     update_retry_budgets();
@@ -231,8 +238,8 @@
     gossip_quarantine(service, crash.fingerprint);
 }
 
-void control_plane::gossip_crash_evidence() {
-    for (const wire::Fact& fact : crashes_.take_facts()) {
+void control_plane::gossip_all(const std::vector<wire::Fact>& facts) {
+    for (const wire::Fact& fact : facts) {
         fleet_.gossip(fact);
     }
 }
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -106,7 +106,7 @@
     void update_services();
     void update_places(const std::string& service);
     void gossip_quarantine(const std::string& service, std::uint64_t fingerprint);
-    void gossip_crash_evidence();
+    void gossip_all(const std::vector<wire::Fact>& facts);
     void on_crash_fact(const wire::CrashFact& fact);
     void publish_verdicts();
     void apply_verdict(const wire::VerdictFact& fact);
--- a/modules/node/fleet_membership.cpp
+++ b/modules/node/fleet_membership.cpp
@@ -85,6 +85,7 @@
                [this](const target_view& view) { hooks_.targets_changed(std::string(view.service)); },
            .on_verdict = [this](const wire::VerdictFact& fact) { hooks_.verdict_received(fact); },
            .on_quarantine = [this](const wire::QuarantineFact& fact) { hooks_.quarantine_received(fact); },
+           .on_success = [this](const wire::SuccessFact& fact) { hooks_.success_received(fact); },
            .on_crash = [this](const wire::CrashFact& fact) { hooks_.crash_received(fact); }}),
       members_(context.clock, std::mt19937_64(std::random_device{}()), make_membership_self(context),
                context.settings.seeds, make_membership_options(context.settings),
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -22,6 +22,7 @@
     std::function<void(const wire::VerdictFact&)> verdict_received;
     std::function<void(const wire::QuarantineFact&)> quarantine_received;
     std::function<void(const wire::CrashFact&)> crash_received;
+    std::function<void(const wire::SuccessFact&)> success_received;
 };
 
 /// Runs this node's side of the fleet membership: connects the membership protocol, the target registry and
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -396,7 +396,10 @@
     }
     const std::uint64_t fingerprint = end.run.head.fingerprint;
     if (end.result.error == error_kind::none) {
-        quarantine_.on_success(fingerprint);
+        if (quarantine_.on_success(fingerprint)) {
+            log_event(event_level::info, "quarantine_ended",
+                      {{"fingerprint", fingerprint}, {"request_id", end.run.head.request_id}});
+        }
         return;
     }
     if (!end.result.target_crashed) {
--- a/servers/health/crash_exchange.cpp
+++ b/servers/health/crash_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <span>
 #include <utility>
 
@@ -42,7 +43,29 @@
     }
 }
 
-std::vector<wire::Fact> crash_exchange::take_facts() {
+void crash_exchange::apply(const wire::SuccessFact& fact) {
+    constexpr std::uint64_t most = std::numeric_limits<std::uint16_t>::max();
+    const success_report report{.fingerprint = fact.fingerprint(),
+                                .successes = static_cast<std::uint32_t>(std::min(fact.successes(), most))};
+    if (quarantine_.on_reported_successes(report, {fact.origin_node(), fact.origin_incarnation()})) {
+        hooks_.released(fact.fingerprint(), fact.origin_node());
+    }
+}
+
+std::vector<wire::Fact> crash_exchange::take_success_facts() {
+    std::vector<wire::Fact> facts;
+    for (const success_report& report : quarantine_.take_success_reports()) {
+        wire::SuccessFact& message = *facts.emplace_back().mutable_success();
+        message.set_fingerprint(report.fingerprint);
+        message.set_origin_node(self_.name);
+        message.set_origin_incarnation(self_.incarnation);
+        message.set_successes(report.successes);
+        message.set_sequence(++sequence_);
+    }
+    return facts;
+}
+
+std::vector<wire::Fact> crash_exchange::take_crash_facts() {
     std::vector<wire::Fact> facts;
     for (const auto& [target, crash] : std::exchange(pending_, {})) {
         add_crash_facts(target, crash, facts);
--- a/servers/health/crash_exchange.h
+++ b/servers/health/crash_exchange.h
@@ -16,6 +16,8 @@
 struct crash_exchange_hooks {
     /// A crash that another node reported quarantined a fingerprint here.
     std::function<void(const std::string& service, const crash_report& crash)> quarantined;
+    /// The successes that another node reported ended a quarantine here.
+    std::function<void(std::uint64_t fingerprint, const std::string& origin_node)> released;
 };
 
 /// Shares the evidence of the quarantine between the nodes of the fleet, so that each node decides from all
@@ -31,9 +33,14 @@
     void on_local_crash(const std::string& service, const crash_report& crash);
     /// Counts a crash that another node reported.
     void apply(const wire::CrashFact& fact);
+    /// Counts the successes that another node reported.
+    void apply(const wire::SuccessFact& fact);
     /// Returns the facts to gossip since the last call. One crash fact covers the requests that ran at a
     /// crash.
-    std::vector<wire::Fact> take_facts();
+    std::vector<wire::Fact> take_crash_facts();
+    /// Returns the successes to gossip. Call about once a second, at a different time on each node, so that
+    /// most nodes need not report what others already have.
+    std::vector<wire::Fact> take_success_facts();
 
 private:
     struct pending_crash {
--- a/servers/health/crash_quarantine.cpp
+++ b/servers/health/crash_quarantine.cpp
@@ -47,13 +47,13 @@
     const crash_time occurred{.target = crash.target, .occurred_at = clock_.now() - age};
     add_crash(*item, occurred);
     add_recent_crash(occurred);
-    const std::uint32_t successes = estimate_successes(crash.fingerprint);
+    const std::uint32_t successes = successes_of(crash.fingerprint, *item);
     const bool already_quarantined = is_quarantined_now(*item);
     if (!already_quarantined && item->crashes.size() < required_crashes(*item)) {
         return crash_verdict::suspected;
     }
-    if (!already_quarantined && (successes >= options_.successes_per_crash * item->crashes.size() ||
-                                 (successes > 0 && has_likelier_cause(crash.target)))) {
+    if (!already_quarantined &&
+        (successes >= harmless_successes(*item) || (successes > 0 && has_likelier_cause(crash.target)))) {
         return crash_verdict::harmless;
     }
     if (successes == 0) {
@@ -98,13 +98,13 @@
 bool crash_quarantine::has_likelier_cause(const target_identity& crashed) const {
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
         return is_quarantined_now(item.second) && has_crash(item.second, crashed) &&
-               estimate_successes(item.first) == 0;
+               successes_of(item.first, item.second) == 0;
     });
 }
 
 void crash_quarantine::release_succeeding_fingerprints(const target_identity& crashed) {
     for (auto& [fingerprint, item] : entries_) {
-        if (is_quarantined_now(item) && has_crash(item, crashed) && estimate_successes(fingerprint) > 0) {
+        if (is_quarantined_now(item) && has_crash(item, crashed) && successes_of(fingerprint, item) > 0) {
             item.quarantined_until = steady_time{};
         }
     }
@@ -115,12 +115,74 @@
                        [&](const crash_time& recorded) { return recorded.target == crashed; });
 }
 
-void crash_quarantine::on_success(std::uint64_t fingerprint) {
+bool crash_quarantine::on_success(std::uint64_t fingerprint) {
     const std::lock_guard lock(mutex_);
     for (std::size_t row = 0; row < successes_.size(); ++row) {
         std::uint16_t& count = successes_[row][sketch_index(fingerprint, row, sketch_size)];
         count += count < std::numeric_limits<std::uint16_t>::max() ? 1 : 0;
     }
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end()) {
+        return false;
+    }
+    ++found->second.own_successes;
+    return release_if_harmless(fingerprint, found->second);
+}
+
+bool crash_quarantine::on_reported_successes(const success_report& report, const node_identity& origin) {
+    const std::lock_guard lock(mutex_);
+    entry* item = find_or_add(report.fingerprint);
+    item->heard_at = clock_.now();
+    // More reports than these change no verdict.
+    if (reported_by_others(*item) < sufficient_successes()) {
+        item->other_successes[origin] = report.successes;
+    }
+    return release_if_harmless(report.fingerprint, *item);
+}
+
+std::vector<success_report> crash_quarantine::take_success_reports() {
+    const std::lock_guard lock(mutex_);
+    std::vector<success_report> reports;
+    for (auto& [fingerprint, item] : entries_) {
+        const bool known_to_all =
+            item.reported_successes + reported_by_others(item) >= sufficient_successes();
+        if (item.own_successes > item.reported_successes && !known_to_all) {
+            item.reported_successes = item.own_successes;
+            reports.push_back({.fingerprint = fingerprint, .successes = item.own_successes});
+        }
+    }
+    return reports;
+}
+
+// The number of crashes that are kept of a fingerprint is limited, so this many successes always suffice.
+std::uint32_t crash_quarantine::sufficient_successes() const {
+    return options_.successes_per_crash * static_cast<std::uint32_t>(max_crashes_per_fingerprint);
+}
+
+std::uint32_t crash_quarantine::harmless_successes(const entry& item) const {
+    return options_.successes_per_crash *
+           static_cast<std::uint32_t>(std::max<std::size_t>(item.crashes.size(), 2));
+}
+
+std::uint32_t crash_quarantine::reported_by_others(const entry& item) {
+    std::uint32_t sum = 0;
+    for (const auto& [origin, successes] : item.other_successes) {
+        sum += successes;
+    }
+    return sum;
+}
+
+// The sketch also knows the successes before the crash, but may count those of other fingerprints.
+std::uint32_t crash_quarantine::successes_of(std::uint64_t fingerprint, const entry& item) const {
+    return std::max(estimate_successes(fingerprint), item.own_successes) + reported_by_others(item);
+}
+
+bool crash_quarantine::release_if_harmless(std::uint64_t fingerprint, entry& item) {
+    if (!is_quarantined_now(item) || successes_of(fingerprint, item) < harmless_successes(item)) {
+        return false;
+    }
+    item.quarantined_until = steady_time{};
+    return true;
 }
 
 void crash_quarantine::on_quarantine(const quarantined_fingerprint& fact) {
@@ -130,6 +192,9 @@
         return;
     }
     entry* item = find_or_add(fact.fingerprint);
+    if (successes_of(fact.fingerprint, *item) >= harmless_successes(*item)) {
+        return;
+    }
     item->quarantined_until = std::max(item->quarantined_until, clock_.now() + remaining);
 }
 
@@ -140,7 +205,8 @@
         remove_expired_crashes(item);
     }
     std::erase_if(entries_, [this](const auto& item) {
-        return item.second.crashes.empty() && !is_quarantined_now(item.second);
+        return item.second.crashes.empty() && !is_quarantined_now(item.second) &&
+               clock_.now() - item.second.heard_at > options_.window;
     });
     if (now - halved_at_ < options_.window) {
         return;
--- a/servers/health/crash_quarantine.h
+++ b/servers/health/crash_quarantine.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <span>
 #include <string>
@@ -46,6 +47,12 @@
     target_identity target{};
 };
 
+/// Complete answers to requests with a fingerprint that was in flight at a crash.
+struct success_report {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t successes = 0;  ///< Since the reporting node learned of the crash.
+};
+
 /// One quarantined fingerprint and the remaining duration.
 struct quarantined_fingerprint {
     std::uint64_t fingerprint = 0;
@@ -63,8 +70,10 @@
 /// Detects requests that crash one target after another, from the crashes of the whole fleet. Two crashes on
 /// different targets, or on two incarnations of one target, within the window quarantine the fingerprint;
 /// three while targets also crash without it, because a request that is retried then meets two crashes by
-/// chance. A harmless request that was retried together with the cause may be in flight at both crashes; when
-/// a fingerprint that never succeeds was in flight at the same crash, fingerprints that succeed are not
+/// chance. A harmless request that was retried together with the cause may be in flight at both crashes, and
+/// one that is requested often is in flight at each crash of a target that goes down and up. Successes
+/// anywhere in the fleet since the first crash show that it is harmless, and end its quarantine. When a
+/// fingerprint that never succeeds was in flight at the same crash, fingerprints that succeed are not
 /// quarantined. Memory is bounded by evicting the entry with the oldest crash. Safe to use from several
 /// threads; the lock is held for microseconds.
 class crash_quarantine {
@@ -73,11 +82,16 @@
 
     /// Applies a crash of a local target or a report from another node. `age` is the time since the crash.
     crash_verdict on_crash(const crash_report& crash, std::chrono::milliseconds age = {});
-    /// Counts a complete answer to a request with this fingerprint.
-    void on_success(std::uint64_t fingerprint);
-    /// Applies a quarantine declared by another node. The remaining time is limited to the configured
-    /// duration.
+    /// Counts a complete answer to a request with this fingerprint. Returns true when it ends a quarantine.
+    bool on_success(std::uint64_t fingerprint);
+    /// Sets the successes that another node has counted. Returns true when they end a quarantine.
+    bool on_reported_successes(const success_report& report, const node_identity& origin);
+    /// Applies a quarantine declared by another node, unless the fingerprint succeeds often. The remaining
+    /// time is limited to the configured duration.
     void on_quarantine(const quarantined_fingerprint& fact);
+    /// Returns the successes of this node that the other nodes need to tell a harmless fingerprint, and have
+    /// not been returned before.
+    std::vector<success_report> take_success_reports();
     /// Removes expired entries. Call about once a second.
     void on_tick();
 
@@ -96,12 +110,21 @@
     struct entry {
         std::vector<crash_time> crashes{};  ///< Most recent crashes, one per target incarnation.
         steady_time quarantined_until{};
+        std::uint32_t own_successes = 0;       ///< Exact count since the entry was added.
+        std::uint32_t reported_successes = 0;  ///< Part of own_successes that was returned to be reported.
+        std::map<node_identity, std::uint32_t> other_successes{};  ///< By the node that counted them.
+        steady_time heard_at{};                                    ///< Time of the last report of successes.
     };
     // Count-min sketch of the successes per fingerprint, so that memory does not grow with the traffic.
     static constexpr std::size_t sketch_size = 4'096;
     using sketch = std::array<std::array<std::uint16_t, sketch_size>, 2>;
 
     void add_recent_crash(const crash_time& crash);
+    [[nodiscard]] static std::uint32_t reported_by_others(const entry& item);
+    [[nodiscard]] std::uint32_t successes_of(std::uint64_t fingerprint, const entry& item) const;
+    [[nodiscard]] std::uint32_t sufficient_successes() const;
+    [[nodiscard]] std::uint32_t harmless_successes(const entry& item) const;
+    bool release_if_harmless(std::uint64_t fingerprint, entry& item);
     [[nodiscard]] std::size_t required_crashes(const entry& item) const;
     [[nodiscard]] bool has_likelier_cause(const target_identity& crashed) const;
     [[nodiscard]] static bool has_crash(const entry& item, const target_identity& crashed);
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -37,6 +37,8 @@
             return "v:" + fact.verdict().target() + "/" + fact.verdict().origin_node();
         case wire::Fact::kQuarantine:
             return "q:" + std::to_string(fact.quarantine().fingerprint());
+        case wire::Fact::kSuccess:
+            return "s:" + std::to_string(fact.success().fingerprint()) + "/" + fact.success().origin_node();
         case wire::Fact::kCrash:
             return "c:" + fact.crash().origin_node() + "/" + std::to_string(fact.crash().sequence());
         default:
@@ -45,7 +47,7 @@
 }
 
 bool is_urgent(const wire::Fact& fact) {
-    return fact.has_quarantine() || fact.has_crash() ||
+    return fact.has_quarantine() || fact.has_crash() || fact.has_success() ||
            (fact.has_target() && fact.target().state() >= wire::TargetFact::LEAVING);
 }
 
@@ -164,6 +166,9 @@
         case wire::Fact::kQuarantine:
             zone = zone_of_node(fact.quarantine().origin_node());
             break;
+        case wire::Fact::kSuccess:
+            zone = zone_of_node(fact.success().origin_node());
+            break;
         case wire::Fact::kCrash:
             zone = zone_of_node(fact.crash().origin_node());
             break;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -105,8 +105,8 @@
     void add_seeds(std::span<const endpoint> seeds);
     void set_draining(bool draining);
     void set_table_version(std::uint64_t version);
-    /// Gossips a fact that is not about a node. Facts about a leaving or gone target, crashes and
-    /// quarantines are pushed immediately.
+    /// Gossips a fact that is not about a node. Facts about a leaving or gone target, crashes, the successes
+    /// after them and quarantines are pushed immediately.
     membership_output gossip(const wire::Fact& fact);
     /// Records the result of a transport attempt to a peer. A failure probes the peer immediately.
     membership_output on_direct_result(std::string_view name, bool reached);
--- a/servers/membership/target_registry.cpp
+++ b/servers/membership/target_registry.cpp
@@ -132,6 +132,8 @@
             return apply_quarantine(fact.quarantine());
         case wire::Fact::kCrash:
             return apply_crash(fact.crash());
+        case wire::Fact::kSuccess:
+            return apply_success(fact.success());
         default:
             return false;
     }
@@ -210,6 +212,22 @@
     return true;
 }
 
+bool target_registry::apply_success(const wire::SuccessFact& fact) {
+    if (fact.origin_node() == self_.name) {
+        return false;
+    }
+    auto& existing = successes_[std::to_string(fact.fingerprint()) + "/" + fact.origin_node() + "/" +
+                                std::to_string(fact.origin_incarnation())];
+    if (fact.sequence() <= existing.first) {
+        return false;
+    }
+    existing = {fact.sequence(), clock_.now()};
+    if (hooks_.on_success) {
+        hooks_.on_success(fact);
+    }
+    return true;
+}
+
 absl::StatusOr<std::optional<wire::Fact>> target_registry::announce(const target_announcement& announcement) {
     if (announcement.identity.name.empty() || announcement.service.empty() || announcement.slots == 0 ||
         announcement.state == announced_state::gone) {
@@ -300,6 +318,8 @@
                   [&](const auto& item) { return now - item.second.second > options_.gone_retention; });
     std::erase_if(quarantines_,
                   [&](const auto& item) { return now > item.second + options_.gone_retention; });
+    std::erase_if(successes_,
+                  [&](const auto& item) { return now - item.second.second > options_.gone_retention; });
     std::erase_if(crashes_, [&](const auto& item) { return now - item.second > options_.gone_retention; });
 }
 
--- a/servers/membership/target_registry.h
+++ b/servers/membership/target_registry.h
@@ -56,7 +56,8 @@
     std::function<void(const target_view&)> on_change;         ///< A target appeared, changed or disappeared.
     std::function<void(const wire::VerdictFact&)> on_verdict;  ///< A new verdict was received.
     std::function<void(const wire::QuarantineFact&)> on_quarantine;  ///< A quarantine is new or was extended.
-    std::function<void(const wire::CrashFact&)> on_crash;            ///< A target of another node crashed.
+    std::function<void(const wire::SuccessFact&)> on_success;  ///< Another node has counted more successes.
+    std::function<void(const wire::CrashFact&)> on_crash;      ///< A target of another node crashed.
 };
 
 /// Announced targets of all nodes. Facts about one target are ordered by incarnation, then sequence.
@@ -124,6 +125,7 @@
     bool apply_verdict(const wire::VerdictFact& fact);
     bool apply_quarantine(const wire::QuarantineFact& fact);
     bool apply_crash(const wire::CrashFact& fact);
+    bool apply_success(const wire::SuccessFact& fact);
     std::uint32_t find_or_add_record(std::string_view name);
     std::uint32_t find_or_add_node(std::string_view name);
     std::uint32_t find_or_add_service(std::string_view name);
@@ -162,6 +164,8 @@
     std::map<std::uint64_t, steady_time> quarantines_;
     // Time of receipt of each crash fact, by its origin and sequence.
     std::map<std::string, steady_time> crashes_;
+    // Highest sequence for each fingerprint and origin, with the time of receipt.
+    std::map<std::string, std::pair<std::uint64_t, steady_time>> successes_;
     steady_time next_sweep_;
 };
 
--- a/tests/servers/health/crash_exchange_test.cpp
+++ b/tests/servers/health/crash_exchange_test.cpp
@@ -24,9 +24,10 @@
             created.quarantine = std::make_unique<crash_quarantine>(clock_, quarantine_options{});
             created.exchange = std::make_unique<crash_exchange>(
                 clock_, node_identity{"n" + std::to_string(i), 1}, *created.quarantine,
-                crash_exchange_hooks{.quarantined = [&created](const std::string&, const crash_report&) {
-                    ++created.quarantined;
-                }});
+                crash_exchange_hooks{
+                    .quarantined = [&created](const std::string&,
+                                              const crash_report&) { ++created.quarantined; },
+                    .released = [&created](std::uint64_t, const std::string&) { ++created.released; }});
         }
     }
 
@@ -44,7 +45,7 @@
     /// Delivers the facts of all nodes to all others.
     void spread() {
         for (std::size_t from = 0; from < nodes_.size(); ++from) {
-            for (const wire::Fact& fact : nodes_[from]->exchange->take_facts()) {
+            for (const wire::Fact& fact : nodes_[from]->exchange->take_crash_facts()) {
                 ++facts_;
                 for (std::size_t to = 0; to < nodes_.size(); ++to) {
                     if (to != from) {
@@ -55,6 +56,30 @@
         }
     }
 
+    /// A node gets a number of complete answers to requests with a fingerprint.
+    void succeed(std::size_t at, std::uint64_t fingerprint, int count) {
+        for (int i = 0; i < count; ++i) {
+            nodes_[at]->quarantine->on_success(fingerprint);
+        }
+    }
+
+    /// Each node reports its successes in turn, as their seconds begin at different times. Returns the number
+    /// of facts.
+    std::size_t spread_successes() {
+        std::size_t facts = 0;
+        for (std::size_t from = 0; from < nodes_.size(); ++from) {
+            for (const wire::Fact& fact : nodes_[from]->exchange->take_success_facts()) {
+                ++facts;
+                for (std::size_t to = 0; to < nodes_.size(); ++to) {
+                    if (to != from) {
+                        nodes_[to]->exchange->apply(fact.success());
+                    }
+                }
+            }
+        }
+        return facts;
+    }
+
     manual_time_source& clock() { return clock_; }
     crash_quarantine& quarantine(std::size_t i) { return *nodes_[i]->quarantine; }
     [[nodiscard]] std::size_t size() const { return nodes_.size(); }
@@ -73,6 +98,7 @@
         std::unique_ptr<crash_exchange> exchange;
         std::uint64_t target_incarnation = 0;
         std::size_t quarantined = 0;
+        std::size_t released = 0;
     };
 
     manual_time_source clock_;
@@ -130,13 +156,14 @@
         exchange.on_local_crash("contratos", {.fingerprint = i, .target = {"t", 1}});
     }
     clock.advance(50s);
-    const std::vector<wire::Fact> facts = exchange.take_facts();
+    const std::vector<wire::Fact> facts = exchange.take_crash_facts();
     BOOST_TEST_REQUIRE(facts.size() == 4U);
-    BOOST_TEST(exchange.take_facts().empty());
+    BOOST_TEST(exchange.take_crash_facts().empty());
     crash_quarantine other(clock, {});
     std::size_t quarantined = 0;
-    crash_exchange receiver(clock, {"b", 1}, other,
-                            {.quarantined = [&](const std::string&, const crash_report&) { ++quarantined; }});
+    crash_exchange receiver(
+        clock, {"b", 1}, other,
+        {.quarantined = [&](const std::string&, const crash_report&) { ++quarantined; }, .released = {}});
     for (const wire::Fact& fact : facts) {
         BOOST_TEST(fact.ByteSizeLong() < 700U);
         receiver.apply(fact.crash());
@@ -155,6 +182,82 @@
     BOOST_TEST(quarantined == 64U);
 }
 
+// Guards against a sound request that is banned from the whole fleet, because it was in flight whenever a
+// target that goes down and up crashed, although all other targets serve it.
+BOOST_AUTO_TEST_CASE(flapping_target_does_not_ban_a_request_that_succeeds_elsewhere) {
+    sharing_fleet fleet(10);
+    for (int crash = 0; crash < 5; ++crash) {
+        fleet.crash(0, {42});
+        fleet.spread();
+        BOOST_TEST(fleet.nodes_that_refuse(42) == 0U);
+        for (int second = 0; second < 3; ++second) {
+            for (std::size_t i = 1; i < fleet.size(); ++i) {
+                fleet.succeed(i, 42, 1);
+            }
+            fleet.clock().advance(1s);
+            fleet.spread_successes();
+        }
+    }
+    BOOST_TEST(fleet.nodes_that_refuse(42) == 0U);
+}
+
+// Guards against a quarantine that lasts although runs that had begun before it end well at several nodes.
+BOOST_AUTO_TEST_CASE(successes_end_a_quarantine_everywhere) {
+    sharing_fleet fleet(10);
+    fleet.crash(0, {42, 43});
+    fleet.spread();
+    fleet.crash(0, {42, 43});
+    fleet.spread();
+    BOOST_TEST(fleet.nodes_that_refuse(42) == fleet.size());
+    for (std::size_t i = 1; i < 7; ++i) {
+        fleet.succeed(i, 42, 1);
+    }
+    fleet.spread_successes();
+    BOOST_TEST(fleet.nodes_that_refuse(42) == 0U);
+    // A quarantine that a node declared before it heard of the successes does not come back.
+    fleet.quarantine(3).on_quarantine({.fingerprint = 42, .remaining = 300s});
+    BOOST_TEST(fleet.nodes_that_refuse(42) == 0U);
+    BOOST_TEST(fleet.nodes_that_refuse(43) == fleet.size());
+    fleet.clock().advance(299s);
+    BOOST_TEST(fleet.nodes_that_refuse(43) == fleet.size());
+}
+
+// Guards against reports from every node of a large fleet, and against successes that are reported without a
+// crash.
+BOOST_AUTO_TEST_CASE(few_nodes_report_their_successes) {
+    sharing_fleet fleet(350);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.succeed(i, 42, 4);
+    }
+    BOOST_TEST(fleet.spread_successes() == 0U);
+    fleet.crash(0, {42});
+    fleet.spread();
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.succeed(i, 42, 4);
+    }
+    BOOST_TEST(fleet.spread_successes() == 3U);
+    BOOST_TEST(fleet.spread_successes() == 0U);
+}
+
+// Guards against a second series of crashes whose successes are taken for reports that are already known.
+BOOST_AUTO_TEST_CASE(later_crashes_are_judged_anew) {
+    sharing_fleet fleet(4);
+    for (int series = 0; series < 3; ++series) {
+        for (int crash = 0; crash < 3; ++crash) {
+            fleet.crash(0, {42});
+            fleet.spread();
+            BOOST_TEST(fleet.nodes_that_refuse(42) == 0U);
+            fleet.succeed(1, 42, series == 0 ? 20 : 6);
+            fleet.spread_successes();
+        }
+        fleet.clock().advance(61s);
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            fleet.quarantine(i).on_tick();
+            BOOST_TEST(fleet.quarantine(i).size() == 0U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch
--- a/tests/servers/membership/target_registry_test.cpp
+++ b/tests/servers/membership/target_registry_test.cpp
@@ -241,6 +241,29 @@
     BOOST_TEST(received == (std::vector<std::uint64_t>{2, 1, 1}), boost::test_tools::per_element());
 }
 
+// Guards against an older count of successes that replaces a newer one, and against counts that are never
+// passed on.
+BOOST_AUTO_TEST_CASE(newer_counts_of_successes_are_accepted) {
+    manual_time_source clock;
+    std::vector<std::uint64_t> received;
+    target_registry_hooks hooks;
+    hooks.on_success = [&](const wire::SuccessFact& fact) { received.push_back(fact.successes()); };
+    target_registry targets(clock, {"a", 1}, {}, hooks);
+    wire::Fact fact;
+    wire::SuccessFact& success = *fact.mutable_success();
+    success.set_fingerprint(7);
+    success.set_origin_node("b");
+    for (const auto& [sequence, successes] :
+         std::vector<std::pair<int, int>>{{2, 50}, {2, 50}, {1, 60}, {3, 4}}) {
+        success.set_sequence(static_cast<std::uint64_t>(sequence));
+        success.set_successes(static_cast<std::uint64_t>(successes));
+        targets.apply(fact);
+    }
+    BOOST_TEST(received == (std::vector<std::uint64_t>{50, 4}), boost::test_tools::per_element());
+    success.set_origin_node("a");
+    BOOST_TEST(!targets.apply(fact));
+}
+
 // Guards against a crash that reaches the other nodes, also those of other zones, only after further crashes.
 BOOST_AUTO_TEST_CASE(crash_spreads_within_a_second) {
     simulated_network network(100, 4, 23);
