Remember departures of targets beyond the process that acknowledged them

Cause: departures were kept in the memory of the process. After a restart the node took a late heartbeat of the departed incarnation as its first, and the other nodes let the target become ready again.

TargetFact says whether the target itself has departed, and a departure outranks later facts of its incarnation. A node that has restarted is told by its zone, once it is seen and whenever it contradicts a departure; anti-entropy carries departures as well. A draining node's own targets are leaving, not departed, and return with the node. Related: a target that announced that it drains could also return after its entry had expired; draining is now remembered like a deregistration, and draining heartbeats stay acknowledged.

Open: departures that only nodes knew which are killed at the same time.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -71,6 +71,8 @@
       fleet_(io_context.get_executor(), context, peers_,
              {.nodes_changed = [this] { nodes_changed_ = true; },
               .targets_changed = [this](const std::string& service) { changed_services_.insert(service); },
+              .local_target_departed =
+                  [this](const target_identity& target) { departed_targets_.push_back(target); },
               .verdict_received = [this](const wire::VerdictFact& fact) { apply_verdict(fact); },
               .quarantine_received =
                   [this](const wire::QuarantineFact& fact) {
@@ -123,6 +125,7 @@
                            [this] {
                                gossip_all(crashes_.take_crash_facts());
                                fleet_.on_tick();
+                               apply_departures();
                                update_services();
                            }),
           "membership_tick");
@@ -228,6 +231,15 @@
     return accepted;
 }
 
+// A predecessor of this node acknowledged these departures, or they came from another node.
+void control_plane::apply_departures() {
+    for (const target_identity& target : std::exchange(departed_targets_, {})) {
+        if (!context_.targets.has_departed(target)) {
+            context_.targets.on_departure({.target = target.name, .incarnation = target.incarnation});
+        }
+    }
+}
+
 void control_plane::on_local_target(const managed_target_fact& fact) {
     fleet_.on_local_target(fact);
     changed_services_.insert(fact.service);
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -108,6 +108,7 @@
     void gossip_quarantine(const std::string& service, std::uint64_t fingerprint);
     void gossip_all(const std::vector<wire::Fact>& facts);
     void on_crash_fact(const wire::CrashFact& fact);
+    void apply_departures();
     void publish_verdicts();
     void apply_verdict(const wire::VerdictFact& fact);
     awaitable<void> send_digest(outgoing_digest message);
@@ -129,6 +130,8 @@
     crash_exchange crashes_;
     claim_manager claims_;
     std::set<std::string> changed_services_;  ///< Services whose targets changed since the last tick.
+    /// Departures of local targets that the fleet knows, since the last tick.
+    std::vector<target_identity> departed_targets_;
     bool nodes_changed_ = true;
     std::map<std::string, double> published_scores_;  ///< Outlier scores that were published last, by target.
     std::uint64_t verdict_sequence_ = 0;
--- a/modules/node/fleet_membership.cpp
+++ b/modules/node/fleet_membership.cpp
@@ -81,11 +81,14 @@
       hooks_(std::move(hooks)),
       targets_(
           context.clock, context.self, {},
-          {.on_change =
-               [this](const target_view& view) { hooks_.targets_changed(std::string(view.service)); },
+          {.on_change = [this](const target_view& view) { on_target_change(view); },
            .on_verdict = [this](const wire::VerdictFact& fact) { hooks_.verdict_received(fact); },
            .on_quarantine = [this](const wire::QuarantineFact& fact) { hooks_.quarantine_received(fact); },
            .on_success = [this](const wire::SuccessFact& fact) { hooks_.success_received(fact); },
+           .on_departed_announced =
+               [this](const std::string& node, const wire::Fact& departure) {
+                   on_departed_announced(node, departure);
+               },
            .on_crash = [this](const wire::CrashFact& fact) { hooks_.crash_received(fact); }}),
       members_(context.clock, std::mt19937_64(std::random_device{}()), make_membership_self(context),
                context.settings.seeds, make_membership_options(context.settings),
@@ -107,6 +110,7 @@
     for (const wire::Fact& fact : targets_.on_tick()) {
         send(members_.gossip(fact));
     }
+    send_departures();
 }
 
 void fleet_membership::renew_targets() {
@@ -118,7 +122,7 @@
 void fleet_membership::on_local_target(const managed_target_fact& fact) {
     // A target that stopped responding is announced as leaving until the registry removes it.
     const announced_state state = fact.gone ? announced_state::leaving : to_announced(fact.state);
-    const auto announced = targets_.announce({fact.identity, fact.service, fact.slots, state});
+    const auto announced = targets_.announce({fact.identity, fact.service, fact.slots, state, fact.departed});
     if (announced.ok() && announced->has_value()) {
         send(members_.gossip(**announced));
     }
@@ -196,6 +200,36 @@
     }
 }
 
+void fleet_membership::on_target_change(const target_view& view) {
+    hooks_.targets_changed(std::string(view.service));
+    if (view.departed && view.node == context_.self.name) {
+        hooks_.local_target_departed({std::string(view.name), view.incarnation});
+    }
+}
+
+void fleet_membership::on_departed_announced(const std::string& node, const wire::Fact& departure) {
+    log_event(event_level::info, "departed_target_announced",
+              {{"target", departure.target().name()},
+               {"incarnation", departure.target().incarnation()},
+               {"node", node}});
+    pending_departures_.push_back(departure);
+}
+
+// A node that has restarted has lost the departures that it acknowledged. Its zone tells it.
+void fleet_membership::send_departures() {
+    for (const std::string& name : std::exchange(started_nodes_, {})) {
+        const member* started = members_.find(name);
+        if (started != nullptr && started->running() &&
+            started->availability_zone == context_.settings.availability_zone) {
+            const std::vector<wire::Fact> known = targets_.departures_of(name);
+            pending_departures_.insert(pending_departures_.end(), known.begin(), known.end());
+        }
+    }
+    for (const wire::Fact& departure : std::exchange(pending_departures_, {})) {
+        send(members_.inform(departure.target().node(), departure));
+    }
+}
+
 void fleet_membership::on_member_change(const member_change& change) {
     log_event(event_level::info, "member",
               {{"node", change.changed_member->identity.name},
@@ -203,6 +237,9 @@
                {"zone", change.changed_member->availability_zone},
                {"state", state_name(change.new_state)}});
     targets_.on_node_state(change.changed_member->identity, change.changed_member->running());
+    if (!change.previous_state) {
+        started_nodes_.push_back(change.changed_member->identity.name);
+    }
     hooks_.nodes_changed();
 }
 
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -19,6 +19,8 @@
 struct fleet_hooks {
     std::function<void()> nodes_changed;
     std::function<void(const std::string& service)> targets_changed;
+    /// Another node knows that a target of this node has departed.
+    std::function<void(const target_identity&)> local_target_departed;
     std::function<void(const wire::VerdictFact&)> verdict_received;
     std::function<void(const wire::QuarantineFact&)> quarantine_received;
     std::function<void(const wire::CrashFact&)> crash_received;
@@ -64,6 +66,9 @@
 
 private:
     void send(const membership_output& output);
+    void on_target_change(const target_view& view);
+    void on_departed_announced(const std::string& node, const wire::Fact& departure);
+    void send_departures();
     void on_member_change(const member_change& change);
     awaitable<void> run_anti_entropy(endpoint peer);
 
@@ -75,6 +80,9 @@
     membership members_;
     state_sync sync_;
     datagram_socket socket_;
+    std::vector<std::string> started_nodes_;  ///< New incarnations of nodes since the last tick.
+    std::vector<wire::Fact>
+        pending_departures_;  ///< Departures to send to the nodes that guarded the targets.
 };
 
 }  // namespace teaselpitch
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -135,16 +135,23 @@
       targets_(std::make_shared<const target_map>()) {}
 
 absl::Status target_manager::on_announcement(const announcement& message) {
-    const auto ended = departed_incarnations_.find(message.identity.name);
-    if (ended != departed_incarnations_.end() && message.identity.incarnation <= ended->second) {
+    const bool leaves = message.state == target_lifecycle::leaving;
+    const bool departed = has_departed(message.identity);
+    if (departed && !leaves) {
         return absl::FailedPreconditionError(
             "this incarnation of the target has left; only a later incarnation can be announced");
     }
     const auto known = entries_.find(message.identity.name);
     if (known == entries_.end()) {
+        if (departed) {
+            return absl::OkStatus();
+        }
         if (absl::Status room = replace_target_at(message); !room.ok()) {
             return room;
         }
+        if (leaves) {
+            record_departure(message.identity);
+        }
         add_target(message);
         return absl::OkStatus();
     }
@@ -165,6 +172,9 @@
         return absl::FailedPreconditionError(
             "this incarnation of the target is leaving; only a later incarnation can become ready again");
     }
+    if (leaves) {
+        record_departure(message.identity);
+    }
     if (!same_incarnation) {
         known->second.target->guarded().set_leaving();
         add_target(message);
@@ -207,8 +217,7 @@
     const auto known = entries_.find(message.target);
     const std::uint64_t latest = known == entries_.end() ? 0 : known->second.latest.identity.incarnation;
     const std::uint64_t ended = message.incarnation.value_or(latest);
-    std::uint64_t& departed = departed_incarnations_[message.target];
-    departed = std::max(departed, ended);
+    record_departure({message.target, ended});
     log_event(event_level::info, "target_departs",
               {{"target", message.target}, {"incarnation", ended}, {"known", known != entries_.end()}});
     if (known == entries_.end() || latest > ended) {
@@ -219,6 +228,16 @@
     update_target(known->second, departing);
 }
 
+bool target_manager::has_departed(const target_identity& target) const {
+    const auto ended = departed_incarnations_.find(target.name);
+    return ended != departed_incarnations_.end() && target.incarnation <= ended->second;
+}
+
+void target_manager::record_departure(const target_identity& target) {
+    std::uint64_t& latest = departed_incarnations_[target.name];
+    latest = std::max(latest, target.incarnation);
+}
+
 void target_manager::add_target(const announcement& message) {
     const service_admission rules = hooks_.admission_of(message.service);
     admission_options admission;
@@ -232,7 +251,8 @@
     }
     {
         const std::lock_guard lock(mutex_);
-        entries_[message.identity.name] = {target, message, clock_.now(), clock_.now()};
+        entries_[message.identity.name] = {target, message, clock_.now(), clock_.now(),
+                                           has_departed(message.identity)};
     }
     publish_targets();
     log_event(event_level::info, "target_announced",
@@ -248,7 +268,8 @@
     entry.renewed_at = clock_.now();
     const bool state_changed = entry.latest.state != message.state;
     const bool slots_changed = entry.latest.slots != message.slots;
-    if (!state_changed && !slots_changed) {
+    const bool departs = !entry.departed && has_departed(message.identity);
+    if (!state_changed && !slots_changed && !departs) {
         entry.latest.sequence = message.sequence;
         return;
     }
@@ -265,6 +286,7 @@
     {
         const std::lock_guard lock(mutex_);
         entry.latest = message;
+        entry.departed = entry.departed || departs;
     }
     log_event(
         event_level::info, "target_changed",
@@ -517,7 +539,8 @@
 
 managed_target_fact target_manager::make_target_fact(const target_entry& entry, bool gone) {
     return {entry.latest.identity, entry.latest.service, entry.latest.state,
-            entry.latest.slots,    entry.ready_since,    gone};
+            entry.latest.slots,    entry.ready_since,    gone,
+            entry.departed};
 }
 
 }  // namespace teaselpitch
--- a/modules/node/target_manager.h
+++ b/modules/node/target_manager.h
@@ -97,6 +97,7 @@
     std::uint32_t slots = 0;
     steady_time ready_since;
     bool gone = false;
+    bool departed = false;  ///< The target has announced that it leaves.
 };
 
 struct service_admission {
@@ -125,7 +126,8 @@
 
     // Commands for the control thread.
     absl::Status on_announcement(const announcement& message);
-    /// Marks the target as leaving, so that it gets no new requests.
+    /// Marks the target as leaving, so that it gets no new requests. It is remembered also for a target that
+    /// is not known here.
     void on_departure(const target_departure& message);
     /// Sets the number of targets that share the retry budget of a service.
     void set_target_count(std::string_view service, std::size_t targets);
@@ -164,6 +166,8 @@
     /// Returns the least loaded local target of a service that admits requests; null when there is none.
     [[nodiscard]] std::shared_ptr<managed_target> least_loaded(std::string_view service) const;
     [[nodiscard]] std::vector<managed_target_fact> facts() const;
+    /// Returns true when this incarnation of the target has announced that it leaves. Control thread only.
+    [[nodiscard]] bool has_departed(const target_identity& target) const;
 
 private:
     struct target_entry {
@@ -171,6 +175,7 @@
         announcement latest;
         steady_time ready_since;
         steady_time renewed_at;
+        bool departed = false;
     };
     using target_map = name_map<std::shared_ptr<managed_target>>;
 
@@ -178,6 +183,7 @@
     void add_target(const announcement& message);
     void update_target(target_entry& entry, const announcement& message);
     void publish_targets();
+    void record_departure(const target_identity& target);
     [[nodiscard]] static managed_target_fact make_target_fact(const target_entry& entry, bool gone);
     void assess_run(managed_target& target, const gate_run_end& end);
 
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -338,6 +338,15 @@
     return take_output();
 }
 
+membership_output membership::inform(std::string_view node, const wire::Fact& fact) {
+    if (const member* receiver = members_.find(node)) {
+        wire::Datagram message = make_datagram(wire::Datagram::GOSSIP, 0);
+        *message.add_facts() = fact;
+        send(receiver->gossip, message);
+    }
+    return take_output();
+}
+
 void membership::add_seeds(std::span<const endpoint> seeds) {
     for (const endpoint& seed : seeds) {
         if (std::find(seeds_.begin(), seeds_.end(), seed) == seeds_.end()) {
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -108,6 +108,8 @@
     /// Gossips a fact that is not about a node. Facts about a leaving or gone target, crashes, the successes
     /// after them and quarantines are pushed immediately.
     membership_output gossip(const wire::Fact& fact);
+    /// Sends a fact to one node.
+    membership_output inform(std::string_view node, const wire::Fact& fact);
     /// Records the result of a transport attempt to a peer. A failure probes the peer immediately.
     membership_output on_direct_result(std::string_view name, bool reached);
     /// Applies a node fact from an anti-entropy exchange.
--- a/servers/membership/target_registry.cpp
+++ b/servers/membership/target_registry.cpp
@@ -1,6 +1,7 @@
 #include "servers/membership/target_registry.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace teaselpitch {
@@ -148,6 +149,7 @@
     entry.node = find_or_add_node(fact.node());
     entry.slots = fact.slots();
     entry.state = static_cast<announced_state>(fact.state());
+    entry.departed = fact.departed();
     entry.used = true;
 }
 
@@ -159,7 +161,9 @@
     const std::uint32_t index = find_or_add_record(fact.name());
     record& entry = records_[index];
     if (entry.used) {
-        if (std::pair(fact.incarnation(), fact.sequence()) <= std::pair(entry.incarnation, entry.sequence)) {
+        if (std::tuple(fact.incarnation(), fact.departed(), fact.sequence()) <=
+            std::tuple(entry.incarnation, entry.departed, entry.sequence)) {
+            report_departure(entry, fact);
             return false;
         }
         remove_if_visible(index);
@@ -168,13 +172,20 @@
     update_record(entry, fact);
     add_to_indexes(index);
     add_if_visible(index);
-    if (entry.state == announced_state::gone) {
+    if (entry.state == announced_state::gone || entry.departed) {
         tombstones_.push_back({index, entry.sequence, clock_.now()});
     }
     notify_change(index);
     return true;
 }
 
+void target_registry::report_departure(const record& known, const wire::TargetFact& outdated) const {
+    if (known.departed && !outdated.departed() && known.incarnation == outdated.incarnation() &&
+        outdated.sequence() > known.sequence && hooks_.on_departed_announced) {
+        hooks_.on_departed_announced(outdated.node(), fact_of(known));
+    }
+}
+
 bool target_registry::apply_verdict(const wire::VerdictFact& fact) {
     auto& existing = verdicts_[fact.target() + "/" + fact.origin_node()];
     if (fact.sequence() <= existing.first) {
@@ -240,11 +251,17 @@
         return absl::FailedPreconditionError("a newer incarnation of target " + announcement.identity.name +
                                              " is known");
     }
-    last_renewals_[announcement.identity.name] = clock_.now();
     const bool same_incarnation =
         existing != nullptr && existing->incarnation == announcement.identity.incarnation;
+    const bool departed = announcement.departed || (same_incarnation && existing->departed);
+    if (departed && announcement.state != announced_state::leaving) {
+        return absl::FailedPreconditionError("this incarnation of target " + announcement.identity.name +
+                                             " has departed");
+    }
+    last_renewals_[announcement.identity.name] = clock_.now();
     if (same_incarnation && is_visible(*existing) && existing->state == announcement.state &&
-        existing->slots == announcement.slots && nodes_[existing->node].identity == self_ &&
+        existing->slots == announcement.slots && existing->departed == departed &&
+        nodes_[existing->node].identity == self_ &&
         services_[existing->service].name == announcement.service) {
         return std::optional<wire::Fact>{};
     }
@@ -259,6 +276,7 @@
     target.set_node_incarnation(self_.incarnation);
     target.set_state(static_cast<wire::TargetFact::State>(announcement.state));
     target.set_slots(announcement.slots);
+    target.set_departed(departed);
     if (same_incarnation && existing->state == announced_state::ready &&
         announcement.state == announced_state::ready) {
         const auto age =
@@ -301,7 +319,8 @@
         const tombstone oldest = tombstones_.front();
         tombstones_.pop_front();
         const record& entry = records_[oldest.index];
-        if (entry.used && entry.state == announced_state::gone && entry.sequence == oldest.sequence) {
+        const bool ended = entry.state == announced_state::gone || (entry.departed && !is_visible(entry));
+        if (entry.used && ended && entry.sequence == oldest.sequence) {
             erase_record(oldest.index);
         }
     }
@@ -354,6 +373,7 @@
     view.node_incarnation = entry.node_incarnation;
     view.state = is_visible(entry) ? entry.state : announced_state::gone;
     view.slots = entry.slots;
+    view.departed = entry.departed;
     if (entry.state == announced_state::ready) {
         view.ready_age =
             std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - entry.ready_since);
@@ -372,6 +392,7 @@
     target.set_node_incarnation(entry.node_incarnation);
     target.set_state(static_cast<wire::TargetFact::State>(entry.state));
     target.set_slots(entry.slots);
+    target.set_departed(entry.departed);
     target.set_ready_age_ms(static_cast<std::uint64_t>(view_of(entry).ready_age.count()));
     return fact;
 }
@@ -401,12 +422,27 @@
     std::vector<wire::Fact> facts;
     for (const record& entry : records_) {
         // A target of a node that this node sees as stopped is left out, because its node may have removed
-        // it.
-        if (entry.used && wanted[entry.leaf] && (is_visible(entry) || entry.state == announced_state::gone)) {
+        // it. A departure holds whatever becomes of the node.
+        if (entry.used && wanted[entry.leaf] &&
+            (is_visible(entry) || entry.departed || entry.state == announced_state::gone)) {
             facts.push_back(fact_of(entry));
         }
     }
     return facts;
 }
 
+std::vector<wire::Fact> target_registry::departures_of(std::string_view node) const {
+    std::vector<wire::Fact> facts;
+    const auto found = node_indexes_.find(std::string(node));
+    if (found == node_indexes_.end()) {
+        return facts;
+    }
+    for (const std::uint32_t index : nodes_[found->second].targets) {
+        if (records_[index].departed) {
+            facts.push_back(fact_of(records_[index]));
+        }
+    }
+    return facts;
+}
+
 }  // namespace teaselpitch
--- a/servers/membership/target_registry.h
+++ b/servers/membership/target_registry.h
@@ -33,6 +33,7 @@
     announced_state state = announced_state::gone;  ///< Also gone while its node is not running.
     std::uint32_t slots = 0;
     std::chrono::milliseconds ready_age{0};  ///< Time since the target became ready.
+    bool departed = false;                   ///< This incarnation never becomes ready again.
 };
 
 /// Announcement of a target to its local node.
@@ -42,6 +43,7 @@
     std::uint32_t slots = 0;
     announced_state state =
         announced_state::starting;  ///< Never gone: a stopping target announces leaving, then stops renewing.
+    bool departed = false;          ///< The target itself leaves, not only its node.
 };
 
 struct target_registry_options {
@@ -57,10 +59,14 @@
     std::function<void(const wire::VerdictFact&)> on_verdict;  ///< A new verdict was received.
     std::function<void(const wire::QuarantineFact&)> on_quarantine;  ///< A quarantine is new or was extended.
     std::function<void(const wire::SuccessFact&)> on_success;  ///< Another node has counted more successes.
-    std::function<void(const wire::CrashFact&)> on_crash;      ///< A target of another node crashed.
+    /// A node announces a target that has departed, because it does not know of the departure. The fact is to
+    /// be sent to that node.
+    std::function<void(const std::string& node, const wire::Fact& departure)> on_departed_announced;
+    std::function<void(const wire::CrashFact&)> on_crash;  ///< A target of another node crashed.
 };
 
-/// Announced targets of all nodes. Facts about one target are ordered by incarnation, then sequence.
+/// Announced targets of all nodes. Facts about one target are ordered by incarnation, then departure, then
+/// sequence: a node that has restarted may announce a target that its predecessor knew as departed.
 class target_registry {
 public:
     target_registry(const time_source& clock, node_identity self, target_registry_options options,
@@ -70,7 +76,7 @@
 
     /// Applies an announcement or renewal of a local target. Returns the fact to gossip when something
     /// changed. INVALID_ARGUMENT: a field is missing or the state is gone. FAILED_PRECONDITION: a newer
-    /// incarnation is registered.
+    /// incarnation is registered, or this one has departed and is announced as starting or ready.
     absl::StatusOr<std::optional<wire::Fact>> announce(const target_announcement& announcement);
     /// Removes expired entries; returns the facts to gossip about local targets that missed their renewals.
     std::vector<wire::Fact> on_tick();
@@ -90,6 +96,8 @@
     [[nodiscard]] const state_digest& digest() const { return digest_; }
     /// Returns the facts of the targets in these leaves; `wanted` has one flag for each leaf.
     [[nodiscard]] std::vector<wire::Fact> facts_in_leaves(const std::vector<bool>& wanted) const;
+    /// Returns the facts of the departed targets of a node.
+    [[nodiscard]] std::vector<wire::Fact> departures_of(std::string_view node) const;
 
 private:
     struct record {
@@ -103,6 +111,7 @@
         std::uint32_t slots = 0;
         std::uint16_t leaf = 0;
         announced_state state = announced_state::gone;
+        bool departed = false;
         bool used = false;
     };
     struct node_entry {
@@ -130,6 +139,7 @@
     std::uint32_t find_or_add_node(std::string_view name);
     std::uint32_t find_or_add_service(std::string_view name);
     void update_record(record& entry, const wire::TargetFact& fact);
+    void report_departure(const record& known, const wire::TargetFact& outdated) const;
     void add_to_indexes(std::uint32_t index);
     void remove_from_indexes(std::uint32_t index);
     void erase_record(std::uint32_t index);
--- a/tests/servers/membership/target_registry_test.cpp
+++ b/tests/servers/membership/target_registry_test.cpp
@@ -40,6 +40,7 @@
     target.set_node_incarnation(5);
     target.set_state(static_cast<wire::TargetFact::State>(mix % 4));
     target.set_slots(static_cast<std::uint32_t>(mix));
+    target.set_departed(target.sequence() == 2);
     return fact;
 }
 
@@ -162,6 +163,91 @@
     BOOST_TEST(took.count() <= 2000);
 }
 
+target_announcement departing(const std::string& name) {
+    target_announcement announcement = ready(name);
+    announcement.state = announced_state::leaving;
+    announcement.departed = true;
+    return announcement;
+}
+
+// Guards against a target that has announced that it leaves and is in use again, because its node has
+// restarted and takes a late announcement for a new one.
+BOOST_AUTO_TEST_CASE(restarted_node_does_not_bring_back_a_departed_target) {
+    manual_time_source clock;
+    target_registry before(clock, {"b", 100}, {}, {});
+    std::vector<wire::Fact> told;
+    target_registry_hooks hooks;
+    hooks.on_departed_announced = [&](const std::string& node, const wire::Fact& departure) {
+        BOOST_TEST(node == "b");
+        told.push_back(departure);
+    };
+    target_registry observer(clock, {"a", 1}, {}, hooks);
+    observer.on_node_state({"b", 100}, true);
+    observer.apply(*before.announce(ready("t1")).value());
+    observer.apply(*before.announce(departing("t1")).value());
+    BOOST_TEST((state_at(observer, "t1") == announced_state::leaving));
+    observer.on_node_state({"b", 200}, true);
+    BOOST_TEST(observer.departures_of("b").size() == 1U);
+    BOOST_TEST(observer.departures_of("unknown").empty());
+
+    target_registry restarted(clock, {"b", 200}, {}, {});
+    const wire::Fact late = *restarted.announce(ready("t1")).value();
+    BOOST_TEST(!observer.apply(late));
+    BOOST_TEST((state_at(observer, "t1") == announced_state::gone));
+    BOOST_TEST_REQUIRE(told.size() == 1U);
+    BOOST_TEST(restarted.apply(told[0]));
+    BOOST_TEST((state_at(restarted, "t1") == announced_state::gone));
+    BOOST_TEST((restarted.announce(ready("t1")).status().code() == absl::StatusCode::kFailedPrecondition));
+    target_announcement successor = ready("t1");
+    successor.identity.incarnation = 2;
+    const auto next = restarted.announce(successor).value();
+    BOOST_TEST_REQUIRE(next.has_value());
+    BOOST_TEST(observer.apply(*next));
+    BOOST_TEST((state_at(observer, "t1") == announced_state::ready));
+}
+
+// Guards against a target that stays out of use after only its node has stopped and started again.
+BOOST_AUTO_TEST_CASE(target_of_a_restarted_node_becomes_ready_again) {
+    manual_time_source clock;
+    target_registry before(clock, {"b", 100}, {}, {});
+    target_registry observer(clock, {"a", 1}, {}, {});
+    target_announcement leaving = ready("t1");
+    leaving.state = announced_state::leaving;
+    observer.on_node_state({"b", 100}, true);
+    observer.apply(*before.announce(ready("t1")).value());
+    observer.apply(*before.announce(leaving).value());
+    observer.on_node_state({"b", 200}, true);
+    BOOST_TEST(observer.departures_of("b").empty());
+    target_registry restarted(clock, {"b", 200}, {}, {});
+    BOOST_TEST(observer.apply(*restarted.announce(ready("t1")).value()));
+    BOOST_TEST((state_at(observer, "t1") == announced_state::ready));
+}
+
+// Guards against a departure that only the nodes know that were up when it was announced, and against
+// departures that are kept forever.
+BOOST_AUTO_TEST_CASE(departures_reach_a_restarted_node_by_sync) {
+    simulated_network network(3, 1, 24);
+    network.run_until([&] { return network.all_alive(); }, 30s);
+    const auto announce = [&](const target_announcement& announcement) {
+        const auto fact = network.nodes[1]->targets->announce(announcement).value();
+        network.send_output(1, network.nodes[1]->members->gossip(*fact));
+    };
+    announce(ready("t1"));
+    network.run(2s);
+    announce(departing("t1"));
+    network.run(1s);
+    network.start(1, 2000);
+    network.run(500ms);
+    (void)network.nodes[1]->targets->announce(ready("t1"));
+    network.exchange(1, 0);
+    BOOST_TEST((state_at(*network.nodes[1]->targets, "t1") == announced_state::gone));
+    BOOST_TEST((state_at(*network.nodes[0]->targets, "t1") == announced_state::gone));
+    network.run(700s, 1s);
+    for (const auto& node : network.nodes) {
+        BOOST_TEST(!node->targets->find("t1").has_value());
+    }
+}
+
 // Guards against a state exchange that misses a difference, or sends facts that both sides have.
 BOOST_AUTO_TEST_CASE(sync_exchanges_only_differences) {
     simulated_network network(2, 1, 22);
