Do not cancel calls across threads

Cause: a control call of a peer runs on the control thread while a shard awaits it. When the stream closed first, the cancellation went to the control thread with a raw pointer into the shard's coroutine (co_spawn of Boost 1.81), which the shard frees when the call ends at the same time. The review had suspected this from reading.

call_on_thread runs a task on another thread without passing cancellation on. The drain of the shards was cancelled across threads as well; it now runs detached and cancels the timer of the stop on the control thread when it is done.

--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -1,9 +1,9 @@
 #include "modules/node/node.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "core/event_log.h"
+#include "drivers/threads/cross_thread_call.h"
 
 namespace teaselpitch {
 
@@ -163,7 +164,6 @@
 }
 
 awaitable<void> node::drain() {
-    using namespace boost::asio::experimental::awaitable_operators;
     const steady_time start = context_.clock.now();
     context_.drain_start = start;
     context_.draining = true;
@@ -177,7 +177,8 @@
                {"answer_ms", milliseconds_from_start(schedule.answer_deadline)},
                {"exit_ms", milliseconds_from_start(schedule.exit_by)}});
     co_await control_plane_.announce_drain();
-    boost::asio::steady_timer drain_timer(control_io_, schedule.exit_by - context_.clock.now());
+    const auto drain_timer =
+        std::make_shared<boost::asio::steady_timer>(control_io_, schedule.exit_by - context_.clock.now());
     boost::asio::steady_timer answer_deadline_timer(control_io_,
                                                     schedule.answer_deadline - context_.clock.now());
     answer_deadline_timer.async_wait([this](const boost::system::error_code& cancelled) {
@@ -185,15 +186,13 @@
             end_exchanges();
         }
     });
-    const auto all_shards = [this]() -> awaitable<void> {
-        for (std::size_t i = 0; i < node_shards_.size(); ++i) {
-            co_await drain_shard(i);
-        }
-    };
-    const auto finished = co_await (all_shards() || drain_timer.async_wait(boost::asio::use_awaitable));
+    start_shard_drains(drain_timer);
+    // Cancelled when all shards have finished.
+    const auto [finished] =
+        co_await drain_timer->async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     control_plane_.leave();
     log_event(event_level::info, "drain_ended",
-              {{"node", context_.self.name}, {"everything_finished", finished.index() == 0}});
+              {{"node", context_.self.name}, {"everything_finished", finished.failed()}});
 }
 
 void node::end_exchanges() {
@@ -202,10 +201,20 @@
     }
 }
 
-awaitable<void> node::drain_shard(std::size_t index) {
-    // The shard's objects may be used on its own thread only.
-    co_await boost::asio::co_spawn(shard_threads_.context(index), node_shards_[index]->drain(),
-                                   boost::asio::use_awaitable);
+// The shards drain on their own threads, so that nothing has to be cancelled across threads when the time is
+// over.
+void node::start_shard_drains(const std::shared_ptr<boost::asio::steady_timer>& all_finished) {
+    const auto remaining = std::make_shared<std::size_t>(node_shards_.size());
+    for (std::size_t i = 0; i < node_shards_.size(); ++i) {
+        boost::asio::co_spawn(shard_threads_.context(i), node_shards_[i]->drain(),
+                              [this, remaining, all_finished](std::exception_ptr) {
+                                  boost::asio::post(control_io_, [remaining, all_finished] {
+                                      if (--*remaining == 0) {
+                                          all_finished->cancel();
+                                      }
+                                  });
+                              });
+    }
 }
 
 choice_or_refusal<route_choice> node::choose_holder(const request_head& head) const {
@@ -236,13 +245,8 @@
     return
         [this](std::string_view method, std::string_view payload) -> awaitable<absl::StatusOr<std::string>> {
             // The control plane may be used on the control thread only.
-            return [](node& self, std::string method_text,
-                      std::string payload_text) -> awaitable<absl::StatusOr<std::string>> {
-                co_return co_await boost::asio::co_spawn(
-                    self.control_io_,
-                    self.control_plane_.handle_call(std::move(method_text), std::move(payload_text)),
-                    boost::asio::use_awaitable);
-            }(*this, std::string(method), std::string(payload));
+            return call_on_thread(control_io_.get_executor(),
+                                  control_plane_.handle_call(std::string(method), std::string(payload)));
         };
 }
 
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <vector>
 
@@ -35,7 +36,8 @@
     awaitable<void> watch_settings();
     void reload_settings(std::string_view reason);
     awaitable<void> drain();
-    awaitable<void> drain_shard(std::size_t index);
+    /// Cancels the timer when all shards have drained.
+    void start_shard_drains(const std::shared_ptr<boost::asio::steady_timer>& all_finished);
     void end_exchanges();
     void set_caller_limits(const caller_limits& limits);
     control_handler make_control_handler();
