Limit the bytes that wait for the end of a line

Operators of similar systems report machines that kept the endless bytes of a faulty target and ran out of memory. It could happen here on the port for announcements and in replies of the store. Cause: the buffers of admin_server, http_client and the log client had no limit. The parser limits heads and bodies, but waits without a limit for the end of a chunk size, a chunk extension or a trailer.

max_unparsed_bytes, which callers' and targets' connections had as two constants, now limits all of them.

Also tested, without a fault: a target that writes an earlier refusal once more.

--- a/drivers/http/admin_server.cpp
+++ b/drivers/http/admin_server.cpp
@@ -104,7 +104,7 @@
     error_code ignored;
     const tcp::endpoint remote = stream->socket().remote_endpoint(ignored);
     const endpoint peer{remote.address().to_string(), remote.port()};
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     bool keep_open = true;
     while (keep_open) {
         http::request_parser<http::string_body> parser;
--- a/drivers/http/asio_types.h
+++ b/drivers/http/asio_types.h
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 
 #include "absl/status/statusor.h"
 #include "core/identity.h"
@@ -19,6 +20,10 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
+/// Limit of the bytes that are received and not yet parsed. A parser that waits for the end of a line would
+/// otherwise keep all bytes of a peer that never sends one.
+constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
+
 /// Completion token that returns a tuple whose first element is the error code.
 constexpr auto tuple_awaitable = net::as_tuple(net::use_awaitable);
 
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -17,7 +17,6 @@
 namespace teaselpitch {
 namespace {
 
-constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{4} * 1024;
 /// Bodies up to this size are read before the handler starts.
 constexpr std::size_t prefetch_limit_bytes = std::size_t{16} * 1024;
@@ -76,7 +75,7 @@
 caller_connection::caller_connection(tcp::socket socket, std::shared_ptr<caller_context> context)
     : socket_(std::move(socket)),
       context_(std::move(context)),
-      buffer_(max_buffered_bytes),
+      buffer_(max_unparsed_bytes),
       read_deadline_(socket_.get_executor(),
                      [this] {
                          error_code ignored;
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -79,7 +79,7 @@
     if (write_error) {
         co_return make_error_status(write_error, target, "cannot send the request to");
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     auto [read_error, read] = co_await http::async_read(stream, buffer, parser, tuple_awaitable);
     if (read_error) {
         co_return make_error_status(read_error, target, "cannot read the reply from");
--- a/drivers/http/target_exchange.cpp
+++ b/drivers/http/target_exchange.cpp
@@ -21,7 +21,6 @@
 namespace teaselpitch {
 namespace {
 
-constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
 constexpr std::size_t piece_size = std::size_t{32} * 1024;
 /// Maximum number of interim (1xx) and stale answers before the answer.
 constexpr int max_interim_answers = 16;
@@ -35,7 +34,7 @@
 }  // namespace
 
 target_connection::target_connection(const net::any_io_executor& executor)
-    : socket(executor), buffer(max_buffered_bytes) {}
+    : socket(executor), buffer(max_unparsed_bytes) {}
 
 bool target_connection::is_reusable() {
     pollfd entry{socket.native_handle(), POLLIN | POLLRDHUP, 0};
--- a/drivers/log/log_http_client.cpp
+++ b/drivers/log/log_http_client.cpp
@@ -18,6 +18,8 @@
 
 constexpr auto result_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t max_answer_bytes = std::uint64_t{256} << 20;
+// A parser that waits for the end of a line would otherwise keep all bytes of a peer that never sends one.
+constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
 
 response make_failed_response(response failed, std::string_view step, const beast::error_code& error) {
     failed.detail = std::string(step) + ": " + error.message();
@@ -58,7 +60,7 @@
     if (write_error) {
         co_return make_failed_response(result, "send", write_error);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
     const auto [read_error, received] = co_await http::async_read(stream, buffer, parser, result_tuple);
--- a/tests/drivers/http/endless_answers_test.cpp
+++ b/tests/drivers/http/endless_answers_test.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <ostream>
 
+#include "drivers/http/admin_server.h"
+#include "drivers/http/http_client.h"
 #include "tests/drivers/http/fake_target.h"
 #include "tests/drivers/http/test_dialect.h"
 
@@ -107,6 +109,59 @@
     }
 }
 
+// Pattern: the store, or another node's table, answers without an end. Guards against memory that grows with
+// the bytes until the call times out.
+BOOST_DATA_TEST_CASE(endless_replies_to_calls_are_bounded, boost::unit_test::data::make(endless_cases), row) {
+    const endless_case expected = row;
+    net::io_context context(1);
+    std::size_t sent = 0;
+    fake_target target(context, [&](raw_connection& connection, int) -> awaitable<void> {
+        co_await read_request(connection);
+        sent = co_await send_endlessly(connection, expected);
+    });
+    run_on(context, [&]() -> awaitable<void> {
+        http_request request;
+        request.max_reply_bytes = std::size_t{1} << 20;
+        const auto reply =
+            co_await send_http_request(context.get_executor(), target.address, request, deadline);
+        // A whole reply at the start is one, whatever follows it.
+        BOOST_TEST((!reply.ok() || reply->body.size() <= 2U));
+        co_await wait_until([&] { return target.closed == 1; });
+    }());
+    BOOST_TEST(sent <= socket_buffer_allowance);
+}
+
+const std::string chunked_request =
+    "POST /v1/announce HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<endless_case> endless_requests{
+    {"request line without an end", "POST /", "aaaaaaaa", false},
+    {"header fields without an end", "POST / HTTP/1.1\r\n", "X-Field: value\r\n", false},
+    {"chunk size without an end", chunked_request, "00000000", false},
+    {"chunk extension without an end", chunked_request + "5;", "aaaaaaaa", false},
+    {"trailer without an end", chunked_request + "0\r\n", "X-Field: value\r\n", false},
+    {"chunks without an end", chunked_request, "4\r\naaaa\r\n", false},
+};
+
+// Pattern: a target in trouble sends announcements without an end. Guards against memory of the node that
+// grows with them until the request times out.
+BOOST_DATA_TEST_CASE(endless_announcements_are_bounded, boost::unit_test::data::make(endless_requests), row) {
+    const endless_case expected = row;
+    net::io_context context(1);
+    admin_server server(
+        context.get_executor(), {"127.0.0.1", 0},
+        [](const admin_request&) -> awaitable<admin_response> { co_return admin_response{}; });
+    const endpoint address = server.start().value();
+    std::size_t sent = 0;
+    run_on(context, [&]() -> awaitable<void> {
+        raw_connection connection(context.get_executor());
+        const auto target = to_tcp_endpoint(address).value();
+        co_await connection.socket.async_connect(target, net::use_awaitable);
+        sent = co_await send_endlessly(connection, expected);
+    }());
+    BOOST_TEST(sent <= socket_buffer_allowance);
+}
+
 struct copy_case {
     const char* name;
     std::string before_next_request;  ///< Sent after the first answer, before the next request.
@@ -184,6 +239,53 @@
     BOOST_TEST(received["r2"] == 1);
 }
 
+const std::string refusal = "HTTP/1.1 503 Busy\r\nAttempt: r1\r\nNot-Done: 1\r\nContent-Length: 0\r\n\r\n";
+
+const std::vector<copy_case> refusal_cases{
+    {"on the connection of the refusal", refusal, ""},
+    {"on the connection of the next request", "", refusal},
+    {"with status 421", "", "HTTP/1.1 421 Misdirected\r\nAttempt: r1\r\nContent-Length: 0\r\n\r\n"},
+    {"without an id", "", "HTTP/1.1 503 Busy\r\nNot-Done: 1\r\nContent-Length: 0\r\n\r\n"},
+};
+
+// Guards against a caller that is told that its request has not run, or a second run of it, because the
+// target wrote an earlier refusal once more while the request runs.
+BOOST_DATA_TEST_CASE(repeated_refusals_never_answer_the_next_request,
+                     boost::unit_test::data::make(refusal_cases), row) {
+    const copy_case expected = row;
+    net::io_context context(1);
+    const system_time_source clock;
+    std::map<std::string, int> received;
+    fake_target target(context, [&](raw_connection& connection, int) -> awaitable<void> {
+        const auto request = co_await read_request(connection);
+        const std::string id(request["Attempt"]);
+        ++received[id];
+        if (id == "r1") {
+            co_await connection.send(refusal + expected.before_next_request);
+            co_return;
+        }
+        co_await connection.send(expected.before_next_answer);
+        co_await connection.send(answer_to(id, "two"));
+    });
+    target_client client(context.get_executor(), target.address, clock,
+                         {.target_name = "t", .dialect = make_test_dialect()});
+    run_on(context, [&]() -> awaitable<void> {
+        for (const std::string id : {"r1", "r2"}) {
+            text_body body("");
+            recording_writer writer;
+            request_head head = make_head(clock);
+            head.request_id = id;
+            head.non_idempotent = true;
+            const exchange_result result = co_await client.exchange(head, body, writer);
+            BOOST_TEST((result.execution == execution_state::not_run) == (id == "r1"));
+            BOOST_TEST(writer.body == (id == "r1" ? "" : "two"));
+            BOOST_TEST(client.idle_connections() == (id == "r1" ? 0U : 1U));
+        }
+    }());
+    BOOST_TEST(received["r1"] == 1);
+    BOOST_TEST(received["r2"] == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch::testing
