--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -50,6 +50,12 @@
     values.readiness_listen = store.required_endpoint("readiness_listen");
     values.heartbeat = store.milliseconds_or("heartbeat_ms", 1500ms, short_duration_range_ms);
     values.drain_limit = store.milliseconds_or("drain_limit_ms", 6s, long_duration_range_ms);
+    if (store.has("drain_limit_s")) {
+        // The platform's bounds are seconds and may have a fraction.
+        const double seconds = store.number_or("drain_limit_s", 6.0, 0.1, 86'400.0);
+        values.drain_limit =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+    }
     store.reject_unknown_keys();
     out.store = values;
     out.claims_enabled = false;
@@ -81,7 +87,9 @@
         fleet_retry_settings values;
         values.ratio = retry_section.number_or("ratio", 0.0, 0.0, 1.0);
         values.slack = retry_section.number_or("slack", 0.0, 0.0, 1'000'000.0);
-        values.window = std::chrono::seconds(retry_section.integer_or("window_s", 10, {1, 3'600}));
+        // A fraction is dropped: a shorter window counts fewer requests and permits fewer retries.
+        values.window = std::chrono::seconds(
+            static_cast<std::int64_t>(retry_section.number_or("window_s", 10.0, 1.0, 3'600.0)));
         retry_section.reject_unknown_keys();
         out.fleet_retries = values;
     }
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -89,6 +90,43 @@
     BOOST_TEST(load_node_settings("/nonexistent/settings.yaml").errors.size() == 1U);
 }
 
+struct platform_bound_case {
+    std::string name;
+    std::string drain_limit;
+    std::string window;
+    std::chrono::milliseconds drain_limit_expected;
+    std::chrono::seconds window_expected;
+    std::size_t errors;
+};
+
+std::ostream& operator<<(std::ostream& out, const platform_bound_case& value) {
+    return out << value.name;
+}
+
+const std::vector<platform_bound_case> platform_bound_cases{
+    {"whole seconds", "drain_limit_s: 10", "10", std::chrono::milliseconds(10'000), std::chrono::seconds(10),
+     0},
+    {"fractions", "drain_limit_s: 6.5", "9.5", std::chrono::milliseconds(6'500), std::chrono::seconds(9), 0},
+    {"milliseconds", "drain_limit_ms: 9000", "10", std::chrono::milliseconds(9'000), std::chrono::seconds(10),
+     0},
+    {"out of range", "drain_limit_s: 0", "0", std::chrono::milliseconds(6'000), std::chrono::seconds(10), 2},
+};
+
+// Guards against a node that does not start, because the platform states a bound with a fraction.
+BOOST_DATA_TEST_CASE(bounds_of_the_platform_may_have_fractions,
+                     boost::unit_test::data::make(platform_bound_cases), item) {
+    const std::string settings = replace_first(
+        valid, "log:\n  address: 127.0.0.1:7000\n",
+        "store:\n  address: 127.0.0.1:7000\n  readiness_listen: 127.0.0.1:7001\n  " + item.drain_limit +
+            "\nrouting:\n  fleet_retries: {ratio: 0.2, slack: 60, window_s: " + item.window + "}\n");
+    const settings_result loaded = parse_node_settings(settings);
+    BOOST_TEST(loaded.errors.size() == item.errors);
+    BOOST_TEST_REQUIRE(loaded.settings.store.has_value());
+    BOOST_TEST((loaded.settings.store->drain_limit == item.drain_limit_expected));
+    BOOST_TEST_REQUIRE(loaded.settings.fleet_retries.has_value());
+    BOOST_TEST((loaded.settings.fleet_retries->window == item.window_expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch
