--- a/main/bench_control/fleet_model.cpp
+++ b/main/bench_control/fleet_model.cpp
@@ -229,7 +229,7 @@
     if (ticks_ % ticks_per_second == 0) {
         run_local_work(node);
         (void)node.run_timed([&] {
-            node.members().set_table_version(version_);
+            (void)node.members().set_table_version(version_);
             return node.targets().on_tick();
         });
         (void)partner.targets().on_tick();
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -94,7 +94,8 @@
                     }}),
       claims_(context.clock, slot_settings_of(context.settings), claim_options_of(context.settings),
               context.self, make_claim_hooks()),
-      hooks_(std::move(shard_callbacks)) {
+      hooks_(std::move(shard_callbacks)),
+      catch_up_(context.clock, {}) {
     if (context.settings.store) {
         create_configuration_feed(platform);
     }
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -22,6 +22,7 @@
 #include "modules/node/node_platform.h"
 #include "modules/node/node_registration.h"
 #include "servers/health/crash_exchange.h"
+#include "servers/membership/table_catch_up.h"
 #include "servers/table/table_replica.h"
 
 namespace teaselpitch {
@@ -92,7 +93,7 @@
     void publish_snapshot();
     void on_configuration(const configuration& next);
     void install_table(std::shared_ptr<const table> rows, std::uint64_t version);
-    /// Fetches the configuration from a node that has a later version.
+    /// Fetches the configuration from another node when that is due.
     void fetch_later_configuration();
     awaitable<void> fetch_configuration_from(endpoint peer);
     /// Sets, for each guarded target, the number of targets that share the retry budget of its service.
@@ -140,9 +141,8 @@
     std::unique_ptr<keyed_store> store_;
     std::unique_ptr<configuration_feed> feed_;
     std::unique_ptr<node_registration> registration_;
-    bool fetching_configuration_ = false;
-    std::uint64_t configuration_fetch_count_ = 0;  ///< Fetches started so far.
-    std::uint64_t last_snapshot_offset_ = 0;       ///< End of the log after the latest own snapshot record.
+    table_catch_up catch_up_;
+    std::uint64_t last_snapshot_offset_ = 0;  ///< End of the log after the latest own snapshot record.
 };
 
 }  // namespace teaselpitch
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -4,9 +4,9 @@
 #include <set>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "core/event_log.h"
 #include "modules/node/control_plane.h"
-#include "servers/membership/newer_table_peer.h"
 #include "servers/table/snapshot_codec.h"
 
 namespace teaselpitch {
@@ -129,25 +129,26 @@
 }
 
 void control_plane::fetch_later_configuration() {
-    const std::uint64_t own = feed_->version();
-    if (fetching_configuration_) {
-        return;
-    }
-    const std::vector<member> members = fleet_.members();
-    if (const std::optional<endpoint> source =
-            find_newer_table_peer(members, own, ++configuration_fetch_count_)) {
-        fetching_configuration_ = true;
+    if (const std::optional<endpoint> source = catch_up_.on_tick(fleet_.membership_view())) {
         spawn(fetch_configuration_from(*source), "fetch_configuration");
     }
 }
 
 awaitable<void> control_plane::fetch_configuration_from(endpoint peer) {
+    const absl::Cleanup end_call = [this] { catch_up_.on_call_ended(); };
+    const steady_time start = context_.clock.now();
     std::string known = std::to_string(feed_->version());
     const auto answer = co_await peers_.call(peer, table_method, std::move(known), configuration_timeout);
-    fetching_configuration_ = false;
-    if (answer.ok() && !answer->empty()) {
-        feed_->apply_document(*answer, "peer " + to_string(peer));
-    }
+    const bool replaced =
+        answer.ok() && !answer->empty() && feed_->apply_document(*answer, "peer " + to_string(peer));
+    log_event(event_level::info, "configuration_fetch",
+              {{"peer", to_string(peer)},
+               {"duration_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock.now() - start).count()},
+               {"bytes", answer.ok() ? answer->size() : 0},
+               {"replaced", replaced},
+               {"version_in_force", feed_->version()},
+               {"reason", std::string(answer.status().message())}});
 }
 
 std::uint64_t control_plane::table_version() const {
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -41,7 +41,7 @@
     /// Renews the announcements of the local targets. Must be called every second.
     void renew_targets();
     void on_local_target(const managed_target_fact& fact);
-    void set_table_version(std::uint64_t version) { members_.set_table_version(version); }
+    void set_table_version(std::uint64_t version) { send(members_.set_table_version(version)); }
     void set_draining() { members_.set_draining(true); }
     void leave();
     void add_seeds(std::span<const endpoint> seeds) { members_.add_seeds(seeds); }
@@ -55,6 +55,7 @@
     [[nodiscard]] node_directory directory() const;
     /// Returns this node first, then all other known nodes, running or stopped.
     [[nodiscard]] std::vector<member> members() const;
+    [[nodiscard]] const membership& membership_view() const { return members_; }
     [[nodiscard]] std::vector<registered_target> targets_of(const std::string& service) const;
     /// Returns the number of nodes that run or may be partitioned, including this one. Nodes that left
     /// gracefully are not counted.
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -303,11 +303,12 @@
     }
 }
 
-void membership::set_table_version(std::uint64_t version) {
+membership_output membership::set_table_version(std::uint64_t version) {
     if (version > self_.table_version) {
         self_.table_version = version;
         report_version(version, identity_hash(self_.identity));
     }
+    return take_output();
 }
 
 void membership::set_draining(bool draining) {
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -104,7 +104,8 @@
     /// Adds seed endpoints; new ones are contacted at the next tick.
     void add_seeds(std::span<const endpoint> seeds);
     void set_draining(bool draining);
-    void set_table_version(std::uint64_t version);
+    /// Records the table version that this node serves.
+    membership_output set_table_version(std::uint64_t version);
     /// Gossips a fact that is not about a node. Facts about a leaving or gone target, crashes, the successes
     /// after them and quarantines are pushed immediately.
     membership_output gossip(const wire::Fact& fact);
