Spread a new table version to nodes without the store at once

Callers of nodes that the store turned away got answers by an older configuration up to 2.0 s after the first node had the new one.

Cause: such nodes asked others once a second, on a tick, one node at a time; the version travelled on probes of once a second. Two ticks too early, or one call to an unreachable node, used up the bound of 2 s.

Change: the first report of a version is pushed like an urgent fact, within the zone by each node and between zones by the bridges. A node asks for it on the next membership tick (200 ms on the platform), one further member each 200 ms while no answer has arrived, three at a time, members that were asked least often and that can be reached first. A node that can read the store waits 200 ms for it first. A node without the store that knows of no later version asks a random member each 500 ms, so that the loss of pushes or of bridges costs little. An older table is no longer sent as an answer.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -95,7 +95,7 @@
       claims_(context.clock, slot_settings_of(context.settings), claim_options_of(context.settings),
               context.self, make_claim_hooks()),
       hooks_(std::move(shard_callbacks)),
-      catch_up_(context.clock, {}) {
+      catch_up_(context.clock, std::mt19937_64(context.self.incarnation), {}) {
     if (context.settings.store) {
         create_configuration_feed(platform);
     }
@@ -126,6 +126,9 @@
                            [this] {
                                gossip_all(crashes_.take_crash_facts());
                                fleet_.on_tick();
+                               if (feed_) {
+                                   fetch_later_configuration();
+                               }
                                apply_departures();
                                update_services();
                            }),
@@ -160,9 +163,7 @@
     for (outgoing_digest& message : health_.on_second_tick()) {
         spawn(send_digest(std::move(message)), "digest");
     }
-    if (feed_) {
-        fetch_later_configuration();
-    } else {
+    if (!feed_) {
         on_log_tick();
     }
     // Direct reachability can change without a membership change.
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/cleanup/cleanup.h"
+#include "absl/strings/numbers.h"
 #include "core/event_log.h"
 #include "modules/node/control_plane.h"
 #include "servers/table/snapshot_codec.h"
@@ -129,7 +130,16 @@
 }
 
 void control_plane::fetch_later_configuration() {
-    if (const std::optional<endpoint> source = catch_up_.on_tick(fleet_.membership_view())) {
+    const std::optional<std::uint64_t> missing = catch_up_.missing_version();
+    const std::optional<endpoint> source =
+        catch_up_.on_tick(fleet_.membership_view(), feed_->store_available());
+    if (catch_up_.missing_version() > missing) {
+        log_event(event_level::info, "configuration_missing",
+                  {{"version", *catch_up_.missing_version()},
+                   {"version_in_force", feed_->version()},
+                   {"store_available", feed_->store_available()}});
+    }
+    if (source) {
         spawn(fetch_configuration_from(*source), "fetch_configuration");
     }
 }
@@ -180,8 +190,11 @@
 absl::StatusOr<std::string> control_plane::answer_table(std::string_view payload) const {
     if (feed_) {
         // The payload is the configuration version of the requesting node.
-        const bool newer = feed_->current() && std::string(payload) != std::to_string(feed_->version());
-        return newer ? feed_->current()->document : std::string();
+        std::uint64_t known = 0;
+        if (!absl::SimpleAtoi(absl::string_view(payload.data(), payload.size()), &known)) {
+            return absl::InvalidArgumentError("the version of the requesting node is not a number");
+        }
+        return feed_->version() > known ? feed_->current()->document : std::string();
     }
     // The payload is the log offset up to which the requesting node has read. An empty response means that
     // this node has read no further.
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -297,6 +297,10 @@
 }
 
 void membership::report_version(std::uint64_t version, std::uint64_t node) {
+    if (version > versions_.version()) {
+        remaining_pushes_ = pushes_per_urgent_fact;
+        remaining_version_pushes_ = pushes_per_urgent_fact;
+    }
     member* known = versions_.add_report(version, node) ? members_.find_by_hash(node) : nullptr;
     if (known != nullptr) {
         known->table_version = std::max<std::uint64_t>(known->table_version, version);
@@ -307,6 +311,7 @@
     if (version > self_.table_version) {
         self_.table_version = version;
         report_version(version, identity_hash(self_.identity));
+        push_if_due();
     }
     return take_output();
 }
@@ -390,6 +395,21 @@
     }
 }
 
+void membership::push_version_to_other_zones() {
+    update_bridges();
+    if (remaining_version_pushes_ == 0) {
+        return;
+    }
+    --remaining_version_pushes_;
+    if (!bridges_.is_bridge()) {
+        return;
+    }
+    for (const remote_zone& zone : bridges_.remote_zones()) {
+        const member* bridge = zone.bridges[random_() % zone.bridges.size()];
+        send(bridge->gossip, make_datagram(wire::Datagram::GOSSIP, 0));
+    }
+}
+
 void membership::push_if_due() {
     const steady_time now = clock_.now();
     if (remaining_pushes_ > 0 && now >= next_push_) {
@@ -397,9 +417,10 @@
         next_push_ = now + options_.push_interval;
         push();
     }
-    if (remote_queue_.size() > 0 && now >= next_remote_push_) {
+    if ((remote_queue_.size() > 0 || remaining_version_pushes_ > 0) && now >= next_remote_push_) {
         next_remote_push_ = now + options_.push_interval;
         push_to_other_zones();
+        push_version_to_other_zones();
     }
 }
 
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -104,7 +104,8 @@
     /// Adds seed endpoints; new ones are contacted at the next tick.
     void add_seeds(std::span<const endpoint> seeds);
     void set_draining(bool draining);
-    /// Records the table version that this node serves.
+    /// Records the table version that this node serves. The first report of a version is pushed immediately,
+    /// as nodes without access to the store learn of it only from other nodes.
     membership_output set_table_version(std::uint64_t version);
     /// Gossips a fact that is not about a node. Facts about a leaving or gone target, crashes, the successes
     /// after them and quarantines are pushed immediately.
@@ -131,6 +132,8 @@
     /// Returns the running nodes, including this one, that have not reported this table version or a newer
     /// one.
     [[nodiscard]] std::vector<std::string> nodes_below_version(std::uint64_t version) const;
+    /// Latest table version that this or another node has reported.
+    [[nodiscard]] std::uint64_t newest_reported_version() const { return versions_.version(); }
 
 private:
     enum class probe_kind : std::uint8_t { member, ring, remote, dead };
@@ -183,6 +186,7 @@
     void push();
     void push_if_due();
     void push_to_other_zones();
+    void push_version_to_other_zones();
     /// Draws different members that are not `except`.
     std::vector<const member*> pick_random(std::span<const member* const> from, std::size_t count,
                                            std::string_view except);
@@ -229,6 +233,7 @@
     steady_time next_push_;
     steady_time next_remote_push_;
     unsigned remaining_pushes_ = 0;
+    unsigned remaining_version_pushes_ = 0;  ///< Pushes of the newest table version to the other zones.
     bool has_had_contact_ = false;
     bool left_ = false;
 };
