Replace a read of the store that has lost its answer

Reads of all nodes start again at the same moment after a change and waited equally long, so that after a loss for all nodes none would notice before 25 s.

When another node delivers a later version and the own read does not end within 1.5 s, a second read starts, and the first one no longer changes offset or availability. The waits of reads are random between 1 and 25 s, so that in a fleet of 24 a read ends each second or so.

a_read_that_lost_its_answer_is_replaced and waits_of_reads_differ cover it; the interface they use is new, so they do not compile without the change.

--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -9,10 +9,17 @@
 #include "core/event_log.h"
 
 namespace teaselpitch {
+namespace {
 
-configuration_feed::configuration_feed(keyed_store& store, configuration_source source,
-                                       configuration_feed_options options, configuration_feed_hooks hooks)
-    : store_(store),
+constexpr std::string_view store_origin = "store";
+
+}  // namespace
+
+configuration_feed::configuration_feed(const time_source& clock, keyed_store& store,
+                                       configuration_source source, configuration_feed_options options,
+                                       configuration_feed_hooks hooks)
+    : clock_(clock),
+      store_(store),
       source_(std::move(source)),
       options_(options),
       hooks_(std::move(hooks)),
@@ -20,10 +27,11 @@
       random_(static_cast<std::minstd_rand::result_type>(options.seed % std::minstd_rand::max() + 1)) {}
 
 awaitable<void> configuration_feed::run() {
+    const std::uint64_t reader = ++reader_;
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    for (;;) {
+    while (reader == reader_) {
         const absl::Status status = co_await read_once();
-        if (status.ok()) {
+        if (status.ok() || reader != reader_) {
             backoff_ = options_.min_backoff;
             continue;
         }
@@ -33,12 +41,18 @@
 }
 
 awaitable<absl::Status> configuration_feed::read_once() {
+    const std::uint64_t reader = reader_;
+    reading_ = true;
+    overtaken_at_.reset();
     absl::Status status;
     if (next_offset_) {
         status = co_await read_next();
     } else {
         status = co_await read_newest();
     }
+    if (reader != reader_) {
+        co_return status;
+    }
     if (absl::IsOutOfRange(status)) {
         log_event(
             event_level::info, "configuration_gap",
@@ -46,27 +60,34 @@
         next_offset_.reset();
         status = co_await read_newest();
     }
-    update_availability(status);
+    if (reader == reader_) {
+        reading_ = false;
+        update_availability(status);
+    }
     co_return status;
 }
 
 awaitable<absl::Status> configuration_feed::read_newest() {
+    const std::uint64_t reader = reader_;
     const auto found = co_await store_.read_newest(source_.topic);
     if (!found.ok()) {
         co_return found.status();
     }
     apply_records(*found);
-    next_offset_ = found->end;
+    if (reader == reader_) {
+        next_offset_ = found->end;
+    }
     co_return absl::OkStatus();
 }
 
 awaitable<absl::Status> configuration_feed::read_next() {
-    const auto found = co_await store_.read_from(source_.topic, *next_offset_, options_.read_wait);
+    const std::uint64_t reader = reader_;
+    const auto found = co_await store_.read_from(source_.topic, *next_offset_, next_read_wait());
     if (!found.ok()) {
         co_return found.status();
     }
     apply_records(*found);
-    if (!found->records.empty()) {
+    if (!found->records.empty() && reader == reader_) {
         next_offset_ = found->records.back().offset + 1;
     }
     co_return absl::OkStatus();
@@ -75,7 +96,7 @@
 void configuration_feed::apply_records(const keyed_records& found) {
     for (const keyed_record& record : found.records) {
         if (record.key == source_.key && !record.value.empty()) {
-            apply_document(record.value, "store");
+            apply_document(record.value, store_origin);
         }
     }
 }
@@ -98,6 +119,9 @@
                {"origin", origin},
                {"routes", decoded->rows->routes().size()}});
     current_ = *std::move(decoded);
+    if (reading_ && !overtaken_at_ && origin != store_origin) {
+        overtaken_at_ = clock_.now();
+    }
     hooks_.on_configuration(*current_);
     return true;
 }
@@ -108,6 +132,16 @@
     }
 }
 
+bool configuration_feed::read_is_overtaken() const {
+    return reading_ && overtaken_at_ && clock_.now() - *overtaken_at_ >= options_.overtaken_read_limit;
+}
+
+std::chrono::milliseconds configuration_feed::next_read_wait() {
+    std::uniform_int_distribution<std::int64_t> wait(options_.min_read_wait.count(),
+                                                     options_.max_read_wait.count());
+    return std::chrono::milliseconds(wait(random_));
+}
+
 std::chrono::milliseconds configuration_feed::next_backoff() {
     std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
     backoff_ = std::min(backoff_ * 2, options_.max_backoff);
--- a/modules/node/configuration_feed.h
+++ b/modules/node/configuration_feed.h
@@ -8,14 +8,20 @@
 #include <string>
 #include <string_view>
 
+#include "core/clock.h"
 #include "modules/node/configuration.h"
 #include "servers/table/keyed_store.h"
 
 namespace teaselpitch {
 
 struct configuration_feed_options {
-    std::chrono::milliseconds read_wait{
-        25'000};  ///< Longest wait of a long-polling read; the store allows 30 s.
+    /// Bounds of the random wait of a long-polling read; the store allows 30 s. A change ends the reads of
+    /// all nodes at the same moment. With equal waits, reads that all lost their answers would end together,
+    /// too.
+    std::chrono::milliseconds min_read_wait{1'000};
+    std::chrono::milliseconds max_read_wait{25'000};
+    /// Time that a read may go on after another node has delivered a later version than the store.
+    std::chrono::milliseconds overtaken_read_limit{1'500};
     std::chrono::milliseconds min_backoff{200};
     std::chrono::milliseconds max_backoff{2'000};
     std::uint64_t seed = 0;  ///< Seed of the backoff jitter.
@@ -34,11 +40,12 @@
 /// the store or from another node. Control thread only.
 class configuration_feed {
 public:
-    configuration_feed(keyed_store& store, configuration_source source, configuration_feed_options options,
-                       configuration_feed_hooks hooks);
+    configuration_feed(const time_source& clock, keyed_store& store, configuration_source source,
+                       configuration_feed_options options, configuration_feed_hooks hooks);
 
     // Commands.
-    /// Reads the store until the coroutine is cancelled; waits with exponential backoff after an error.
+    /// Reads the store until the coroutine is cancelled or run() is called again; waits with exponential
+    /// backoff after an error.
     awaitable<void> run();
     /// Performs one read and applies the documents that it returned.
     awaitable<absl::Status> read_once();
@@ -50,6 +57,9 @@
     [[nodiscard]] const std::optional<configuration>& current() const { return current_; }
     [[nodiscard]] std::uint64_t version() const { return current_ ? current_->version : 0; }
     [[nodiscard]] bool store_available() const { return store_available_; }
+    /// Returns whether the read in progress has probably lost its answer, because another node has delivered
+    /// a later version meanwhile. The caller then runs run() again.
+    [[nodiscard]] bool read_is_overtaken() const;
 
 private:
     awaitable<absl::Status> read_newest();
@@ -57,7 +67,9 @@
     void apply_records(const keyed_records& found);
     void update_availability(const absl::Status& status);
     std::chrono::milliseconds next_backoff();
+    std::chrono::milliseconds next_read_wait();
 
+    const time_source& clock_;
     keyed_store& store_;
     const configuration_source source_;
     const configuration_feed_options options_;
@@ -65,6 +77,10 @@
     std::optional<configuration> current_;
     std::optional<std::uint64_t> next_offset_;  ///< Empty until the newest record has been read.
     bool store_available_ = true;
+    std::uint64_t reader_ =
+        0;  ///< Number of the run() in charge. Reads of earlier ones do not change the state.
+    bool reading_ = false;
+    std::optional<steady_time> overtaken_at_;  ///< Time since which the read in progress is overtaken.
     std::chrono::milliseconds backoff_;
     std::minstd_rand random_;
 };
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -102,7 +102,8 @@
         control_io_.get_executor(), settings.store->address,
         [this](std::string_view call, unsigned status) { context_.metrics.count_store_call(call, status); });
     feed_ = std::make_unique<configuration_feed>(
-        *store_, platform.source, configuration_feed_options{.seed = context_.self.incarnation},
+        context_.clock, *store_, platform.source,
+        configuration_feed_options{.seed = context_.self.incarnation},
         configuration_feed_hooks{
             .on_configuration = [this](const configuration& next) { on_configuration(next); },
             .on_availability =
@@ -130,6 +131,11 @@
 }
 
 void control_plane::fetch_later_configuration() {
+    if (feed_->read_is_overtaken()) {
+        log_event(event_level::warning, "configuration_read_replaced",
+                  {{"version_in_force", feed_->version()}});
+        spawn(feed_->run(), "configuration_feed");
+    }
     const std::optional<std::uint64_t> missing = catch_up_.missing_version();
     const std::optional<endpoint> source =
         catch_up_.on_tick(fleet_.membership_view(), feed_->store_available());
--- a/tests/modules/node/configuration_feed_test.cpp
+++ b/tests/modules/node/configuration_feed_test.cpp
@@ -1,7 +1,12 @@
 #include "modules/node/configuration_feed.h"
 
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -9,6 +14,7 @@
 #include <deque>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teaselpitch {
@@ -23,8 +29,15 @@
         co_return next_answer();
     }
     awaitable<absl::StatusOr<keyed_records>> read_from(std::string, std::uint64_t offset,
-                                                       std::chrono::milliseconds) override {
+                                                       std::chrono::milliseconds wait) override {
         calls += "r" + std::to_string(offset);
+        waits.push_back(wait);
+        if (answers.empty() && lost_answer != nullptr) {
+            // This read gets its answer only when the test says so.
+            boost::asio::steady_timer* const pending = std::exchange(lost_answer, nullptr);
+            (void)co_await pending->async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            co_return late_answer;
+        }
         co_return next_answer();
     }
     awaitable<absl::Status> put(std::string, std::string, std::string) override {
@@ -33,6 +46,9 @@
 
     std::deque<absl::StatusOr<keyed_records>> answers;
     std::string calls;
+    std::vector<std::chrono::milliseconds> waits;  ///< Of the long-polling reads.
+    boost::asio::steady_timer* lost_answer = nullptr;
+    absl::StatusOr<keyed_records> late_answer = absl::UnavailableError("lost");
 
 private:
     absl::StatusOr<keyed_records> next_answer() {
@@ -126,8 +142,9 @@
     scripted_store store;
     store.answers.assign(row.answers.begin(), row.answers.end());
     std::vector<std::uint64_t> versions;
+    manual_time_source clock;
     configuration_feed feed(
-        store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+        clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
         {.on_configuration = [&](const configuration& next) { versions.push_back(next.version); },
          .on_availability = [](const std::string&) {}});
     boost::asio::io_context context;
@@ -148,8 +165,9 @@
 // Guards against a document from another node that replaces the current version by an older or equal one.
 BOOST_AUTO_TEST_CASE(peer_documents_apply_only_when_newer) {
     scripted_store store;
+    manual_time_source clock;
     configuration_feed feed(
-        store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+        clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
         {.on_configuration = [](const configuration&) {}, .on_availability = [](const std::string&) {}});
     BOOST_TEST(feed.apply_document("5", "peer"));
     BOOST_TEST(!feed.apply_document("5", "peer"));
@@ -158,6 +176,87 @@
     BOOST_TEST(feed.version() == 5U);
 }
 
+struct lost_answer_case {
+    const char* name;
+    std::chrono::milliseconds elapsed;  ///< Since the other node delivered its document.
+    bool replaced;
+};
+
+std::ostream& operator<<(std::ostream& out, const lost_answer_case& value) {
+    return out << value.name;
+}
+
+const std::vector<lost_answer_case> lost_answer_cases{
+    {"the answer of the store may still arrive", std::chrono::milliseconds{1'400}, false},
+    {"the answer of the store is lost", std::chrono::milliseconds{1'500}, true},
+};
+
+// Guards against a node that waits for the whole duration of a read whose answer was lost while other nodes
+// already have the next versions, and against a late answer that changes what the next read has set.
+BOOST_DATA_TEST_CASE(a_read_that_lost_its_answer_is_replaced, boost::unit_test::data::make(lost_answer_cases),
+                     row) {
+    manual_time_source clock;
+    boost::asio::io_context context;
+    boost::asio::steady_timer late(context, boost::asio::steady_timer::time_point::max());
+    boost::asio::steady_timer second_late(context, boost::asio::steady_timer::time_point::max());
+    scripted_store store;
+    store.answers.push_back(make_records({make_document("3", 4)}, 5));
+    store.lost_answer = &late;
+    std::string availability;
+    configuration_feed feed(clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+                            {.on_configuration = [](const configuration&) {},
+                             .on_availability = [&](const std::string& reason) { availability += reason; }});
+    boost::asio::co_spawn(context, feed.run(), boost::asio::detached);
+    context.poll();
+    BOOST_TEST(!feed.read_is_overtaken());
+    BOOST_TEST(feed.apply_document("4", "peer"));
+    clock.advance(row.elapsed);
+    BOOST_REQUIRE(feed.read_is_overtaken() == row.replaced);
+    if (!row.replaced) {
+        return;
+    }
+    store.answers.push_back(make_records({make_document("4", 5), make_document("5", 6)}, 7));
+    store.lost_answer = &second_late;
+    boost::asio::co_spawn(context, feed.run(), boost::asio::detached);
+    context.poll();
+    BOOST_TEST(!feed.read_is_overtaken());
+    BOOST_TEST(feed.version() == 5U);
+    BOOST_TEST(store.calls == "nr5r5r7");
+    late.cancel();
+    context.restart();
+    context.poll();
+    BOOST_TEST(feed.store_available());
+    BOOST_TEST(availability.empty());
+    BOOST_TEST(store.calls == "nr5r5r7");
+}
+
+// Guards against nodes whose reads all end at the same moment, so that none of them notices soon that their
+// answers were lost.
+BOOST_AUTO_TEST_CASE(waits_of_reads_differ) {
+    manual_time_source clock;
+    scripted_store store;
+    store.answers.assign(41, make_records({}, 5));
+    configuration_feed feed(
+        clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {.seed = 7},
+        {.on_configuration = [](const configuration&) {}, .on_availability = [](const std::string&) {}});
+    boost::asio::io_context context;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            while (!store.answers.empty()) {
+                (void)co_await feed.read_once();
+            }
+        },
+        boost::asio::detached);
+    context.run();
+    BOOST_REQUIRE(store.waits.size() == 40U);
+    const auto [shortest, longest] = std::minmax_element(store.waits.begin(), store.waits.end());
+    BOOST_TEST(shortest->count() >= 1'000);
+    BOOST_TEST(shortest->count() <= 5'000);
+    BOOST_TEST(longest->count() >= 20'000);
+    BOOST_TEST(longest->count() <= 25'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch
