Refuse port 0 in heartbeats and registrations, and test odd entries of other writers

An operator of a similar system reported entries of another writer with deep nesting, numbers too large and ports out of range that ended the reading machines. Port 0 was accepted: the registered node became a contact that no datagram reaches, and a heartbeat named a target that cannot be connected to. Both rows failed before; parse_remote_endpoint refuses it.

--- a/core/identity.cpp
+++ b/core/identity.cpp
@@ -38,6 +38,14 @@
     return endpoint{parsed.to_string(), port};
 }
 
+absl::StatusOr<endpoint> parse_remote_endpoint(std::string_view text) {
+    absl::StatusOr<endpoint> parsed = parse_endpoint(text);
+    if (parsed.ok() && parsed->port == 0) {
+        return absl::InvalidArgumentError("the port of \"" + std::string(text) + "\" is not in 1..65535");
+    }
+    return parsed;
+}
+
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) {
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
--- a/core/identity.h
+++ b/core/identity.h
@@ -41,6 +41,9 @@
 /// is not in 0..65535.
 absl::StatusOr<endpoint> parse_endpoint(std::string_view text);
 
+/// Like parse_endpoint(), but also fails for port 0, to which no connection can be opened.
+absl::StatusOr<endpoint> parse_remote_endpoint(std::string_view text);
+
 /// 64-bit hash that is identical in every process and build.
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
 
--- a/modules/node/node_registration.cpp
+++ b/modules/node/node_registration.cpp
@@ -35,7 +35,7 @@
         return absl::InvalidArgumentError("the registration record of node \"" + std::string(name) +
                                           "\" is malformed");
     }
-    absl::StatusOr<endpoint> peer = parse_endpoint(value.substr(space + 1));
+    absl::StatusOr<endpoint> peer = parse_remote_endpoint(value.substr(space + 1));
     if (!peer.ok()) {
         return peer.status();
     }
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -59,7 +59,7 @@
     if (message.slots == 0 || message.slots > max_slots) {
         return "slots must be in the range 1 to 100000";
     }
-    const auto address = parse_endpoint(to_string(message.address));
+    const auto address = parse_remote_endpoint(to_string(message.address));
     return address.ok() ? "" : std::string(address.status().message());
 }
 
--- a/tests/modules/node/node_registration_test.cpp
+++ b/tests/modules/node/node_registration_test.cpp
@@ -28,6 +28,14 @@
     {"text as incarnation", "n1", "x 10.0.0.1:7620", false},
     {"host name instead of an address", "n1", "17 web:7620", false},
     {"no port", "n1", "17 10.0.0.1", false},
+    {"port 65536", "n1", "17 10.0.0.1:65536", false},
+    {"port -1", "n1", "17 10.0.0.1:-1", false},
+    {"port 0", "n1", "17 10.0.0.1:0", false},
+    {"port beyond 64 bits", "n1", "17 10.0.0.1:18446744073709559236", false},
+    {"incarnation beyond 64 bits", "n1", "99999999999999999999 10.0.0.1:7620", false},
+    {"negative incarnation", "n1", "-1 10.0.0.1:7620", false},
+    {"10,000 nested arrays", "n1", std::string(10'000, '[') + std::string(10'000, ']'), false},
+    {"empty", "n1", "", false},
 };
 
 }  // namespace
--- a/tests/platform/target_calls_test.cpp
+++ b/tests/platform/target_calls_test.cpp
@@ -18,6 +18,10 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
+std::string nested_arrays(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 admin_request post(std::string path, std::string body) {
     admin_request request;
     request.method = "POST";
@@ -52,6 +56,21 @@
      replace_first(valid,
                    "\"info\":{\"service\":\"vitrine\",\"version\":\"v1\",\"zone\":\"caxias\",\"slots\":4}",
                    "\"info\":[]")},
+    {"10,000 nested arrays", nested_arrays(10'000)},
+    {"10,000 nested arrays in a field that is not read",
+     replace_first(valid, "\"version\":\"v1\"", "\"version\":" + nested_arrays(10'000))},
+    {"port 65536", replace_first(valid, ":8080", ":65536")},
+    {"port -1", replace_first(valid, ":8080", ":-1")},
+    {"port 0", replace_first(valid, ":8080", ":0")},
+    {"port with letters", replace_first(valid, ":8080", ":80x")},
+    {"port beyond 64 bits", replace_first(valid, ":8080", ":18446744073709559696")},
+    {"slots beyond 32 bits", replace_first(valid, "\"slots\":4", "\"slots\":4294967300")},
+    {"slots as a fraction", replace_first(valid, "\"slots\":4", "\"slots\":4.5")},
+    {"slots beyond any number", replace_first(valid, "\"slots\":4", "\"slots\":1e400")},
+    {"sequence beyond 64 bits", replace_first(valid, "\"sequence\":7", "\"sequence\":18446744073709551617")},
+    {"born beyond 64 bits", replace_first(valid, "1790000000123", "1e30")},
+    {"born that is negative", replace_first(valid, "1790000000123", "-1")},
+    {"cold start beyond 64 bits", replace_first(valid, "1200", "99999999999999999999")},
     {"born that is not a number", replace_first(valid, "1790000000123", "\"today\"")},
 };
 
