Test answers that are cut at any byte

An operator of a similar system reported a backend that stopped in the middle of its answer's head: clients got a 200 with an empty or short body, framed as whole. It cannot happen between a gate and its target: answers in six forms, cut at each of their bytes, all end the exchange as unknown and broken, on new and on reused connections, and a reply to a call of the store fails as well. The test passes on the untouched driver; it was never red.

--- a/tests/drivers/http/endless_answers_test.cpp
+++ b/tests/drivers/http/endless_answers_test.cpp
@@ -239,6 +239,69 @@
     BOOST_TEST(received["r2"] == 1);
 }
 
+struct cut_case {
+    const char* name;
+    std::string answer;
+    int first_exchanges;  ///< Exchanges with whole answers on the connection before.
+};
+
+std::ostream& operator<<(std::ostream& out, const cut_case& value) {
+    return out << value.name;
+}
+
+const std::string answer_without_length = "HTTP/1.1 200 OK\r\nAttempt: r1\r\nSeal: s\r\n\r\n";
+
+const std::vector<cut_case> cut_cases{
+    {"with a length", answer_to("r1", "whole"), 0},
+    {"with a length, on a connection in use again", answer_to("r1", "whole"), 1},
+    {"in chunks", chunked_start + "5\r\nwhole\r\n0\r\n\r\n", 0},
+    {"with an empty body", answer_to("r1", ""), 0},
+    {"without a length", answer_without_length, 0},
+    {"after an interim answer", "HTTP/1.1 102 Processing\r\n\r\n" + answer_to("r1", "whole"), 0},
+};
+
+// Pattern: a target stops in the middle of its answer and closes the connection. Guards against a caller that
+// gets a success with an empty or short body, framed as whole, and against a request that counts as not run.
+BOOST_DATA_TEST_CASE(answers_cut_at_any_byte_are_not_whole, boost::unit_test::data::make(cut_cases), row) {
+    const cut_case expected = row;
+    net::io_context context(1);
+    const system_time_source clock;
+    for (std::size_t cut = 0; cut < expected.answer.size(); ++cut) {
+        fake_target target(context, [&](raw_connection& connection, int) -> awaitable<void> {
+            for (int number = 0; number < expected.first_exchanges; ++number) {
+                co_await read_request(connection);
+                co_await connection.send(answer_to("r1", "first"));
+            }
+            co_await read_request(connection);
+            co_await connection.send(expected.answer.substr(0, cut));
+        });
+        target_client client(context.get_executor(), target.address, clock,
+                             {.target_name = "t", .dialect = make_test_dialect()});
+        run_on(context, [&]() -> awaitable<void> {
+            for (int number = 0; number <= expected.first_exchanges; ++number) {
+                text_body body("");
+                recording_writer writer;
+                request_head head = make_head(clock);
+                head.non_idempotent = true;
+                const exchange_result result = co_await client.exchange(head, body, writer);
+                if (number < expected.first_exchanges) {
+                    BOOST_REQUIRE((result.error == error_kind::none));
+                    continue;
+                }
+                BOOST_TEST((result.error != error_kind::none), "cut after " << cut << " bytes");
+                BOOST_TEST((result.execution == execution_state::unknown), "cut after " << cut << " bytes");
+                BOOST_TEST(!writer.finished, "cut after " << cut << " bytes");
+                BOOST_TEST(client.idle_connections() == 0U);
+            }
+            http_request request;
+            const auto reply =
+                co_await send_http_request(context.get_executor(), target.address, request, deadline);
+            BOOST_TEST((expected.first_exchanges > 0 || !reply.ok() || reply->status != 200U),
+                       "reply cut after " << cut << " bytes");
+        }());
+    }
+}
+
 const std::string refusal = "HTTP/1.1 503 Busy\r\nAttempt: r1\r\nNot-Done: 1\r\nContent-Length: 0\r\n\r\n";
 
 const std::vector<copy_case> refusal_cases{
