Count suspended time in deadlines and leases

An operator of a similar system reported a process that was delayed and acted on a permission that had run out meanwhile. It can happen here when a whole machine is suspended: the steady clock does not count that time, so after it a request's deadline, a lease, a promise or a quarantine still looked valid for the length of the suspension, and a target was given more time than the caller waits.

Timers of Asio take durations from this clock and still run on the steady clock.

--- a/core/clock.h
+++ b/core/clock.h
@@ -26,10 +26,12 @@
     time_source& operator=(const time_source&) = default;
 };
 
-/// The clocks of the operating system.
+/// The clocks of the operating system. The monotonic time includes the time for which the machine was
+/// suspended, as deadlines and leases go on at the other machines. It must not be compared with times of
+/// std::chrono::steady_clock.
 class system_time_source final : public time_source {
 public:
-    [[nodiscard]] steady_time now() const override { return std::chrono::steady_clock::now(); }
+    [[nodiscard]] steady_time now() const override;
     [[nodiscard]] wall_time wall_now() const override { return std::chrono::system_clock::now(); }
 };
 
