Let non-idempotent requests wait for a peer that is silent for a while

Callers of non-idempotent requests got 502 and could not repeat them; the answer that the target made was lost.

A connection that stops responding still accepts no new streams and ends the idempotent ones, which are sent to another node. Non-idempotent streams now stay until their answer, their deadline or the end of the connection. If the peer continues, it is told to cancel the streams that were ended.

peer_that_was_silent_for_a_while/a non-idempotent request gets its answer fails without the flag of the stream (outcome_unknown).

--- a/drivers/peer/client_stream.cpp
+++ b/drivers/peer/client_stream.cpp
@@ -64,7 +64,9 @@
       writer_(writer),
       has_body_(head.has_body),
       stream_(std::move(session), make_request_fields(head, clock.now()), head.has_body,
-              head.deadline - clock.now() + deadline_grace) {}
+              head.deadline - clock.now() + deadline_grace) {
+    stream_.get()->waits_for_unresponsive_peer = head.non_idempotent;
+}
 
 awaitable<exchange_result> client_exchange::run() {
     std::exception_ptr failure;
@@ -172,7 +174,7 @@
     if (stream_.not_run()) {
         return failed_exchange(error_kind::peer_unreachable, "the peer did not process the request");
     }
-    if (stream_.get()->expired) {
+    if (stream_.get()->expired && !stream_.session().peer_is_silent()) {
         return failed_exchange(error_kind::target_timeout, "the peer did not answer within the deadline");
     }
     return failed_exchange(error_kind::outcome_unknown, "the stream ended before the response head");
--- a/drivers/peer/h2_session.cpp
+++ b/drivers/peer/h2_session.cpp
@@ -172,6 +172,9 @@
 }
 
 clock::time_point h2_session::next_check_time() const {
+    if (unresponsive_) {
+        return clock::time_point::max();
+    }
     if (!streams_.empty()) {
         return ping_pending_ ? ping_sent_at_ + options_.ping_deadline
                              : std::max(last_received_at_, activity_changed_at_) + options_.ping_idle;
@@ -212,14 +215,31 @@
         ping_pending_ = false;
         return;
     }
-    close_unresponsive();
+    end_unresponsive();
 }
 
-void h2_session::close_unresponsive() {
+void h2_session::end_unresponsive() {
+    unresponsive_ = true;
     if (hooks_.on_unresponsive) {
         hooks_.on_unresponsive();
     }
-    close();
+    std::vector<std::shared_ptr<h2_stream>> ended;
+    for (const auto& [id, stream] : streams_) {
+        if (!stream->waits_for_unresponsive_peer) {
+            ended.push_back(stream);
+        }
+    }
+    for (const std::shared_ptr<h2_stream>& stream : ended) {
+        // If the peer continues, it must not work on a stream that nobody waits for.
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream->id, NGHTTP2_CANCEL);
+        stream->connection_lost = true;
+        streams_.erase(stream->id);
+        end_stream(stream);
+    }
+    flush();
+    if (streams_.empty()) {
+        close();
+    }
 }
 
 asio::awaitable<bool> h2_session::wait_for_settings() {
@@ -240,9 +260,9 @@
     }
     boost::system::error_code error;
     if (!closed_ && last_received_at_ == before && socket_.available(error) == 0) {
-        close_unresponsive();
+        end_unresponsive();
     }
-    co_return !closed_;
+    co_return usable();
 }
 
 std::shared_ptr<h2_stream> h2_session::open_stream(const h2_fields& head, bool has_body) {
@@ -414,7 +434,10 @@
     }
     extracted.mapped()->close_code = error_code;
     end_stream(extracted.mapped());
-    if (streams_.empty()) {
+    if (streams_.empty() && unresponsive_) {
+        // Posted because callbacks of nghttp2 end streams, too.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+    } else if (streams_.empty()) {
         activity_changed_at_ = clock::now();
         health_timer_.cancel();
     }
--- a/drivers/peer/h2_session.h
+++ b/drivers/peer/h2_session.h
@@ -38,8 +38,9 @@
 /// Notifications to the owner of a session. They run on the session's executor.
 struct h2_session_hooks {
     std::function<void(std::shared_ptr<h2_stream>)> on_request;  ///< Servers only: request head received.
-    std::function<void()> on_unresponsive;  ///< The peer sent nothing within the ping deadline.
-    std::function<void()> on_closed;        ///< The session ended; called once.
+    /// The peer sent nothing within the ping deadline. The session accepts no new streams from then on.
+    std::function<void()> on_unresponsive;
+    std::function<void()> on_closed;  ///< The session ended; called once.
 };
 
 /// HTTP/2 session over one TCP connection, as client or server. All members must be called on the socket's
@@ -101,7 +102,11 @@
     /// The peer's SETTINGS frame was received.
     [[nodiscard]] bool settings_received() const { return settings_received_; }
     /// True while new streams can be opened.
-    [[nodiscard]] bool usable() const { return !closed_ && settings_received_ && !going_away_; }
+    [[nodiscard]] bool usable() const {
+        return !closed_ && settings_received_ && !going_away_ && !unresponsive_;
+    }
+    /// The peer stopped responding and has sent nothing since.
+    [[nodiscard]] bool peer_is_silent() const { return unresponsive_ && last_received_at_ <= ping_sent_at_; }
     [[nodiscard]] std::size_t open_stream_count() const { return streams_.size(); }
     /// Maximum number of concurrent streams accepted by the peer.
     [[nodiscard]] std::size_t stream_limit() const;
@@ -118,7 +123,8 @@
     std::size_t collect_output();
     void submit_settings();
     void check_health();
-    void close_unresponsive();
+    /// Ends all streams except those that wait for an unresponsive peer; without any, closes the session.
+    void end_unresponsive();
     std::chrono::steady_clock::time_point next_check_time() const;
     void flush() { output_pending_.notify(); }
     void add_stream(const std::shared_ptr<h2_stream>& stream);
@@ -142,6 +148,7 @@
     bool ping_pending_ = false;
     bool settings_received_ = false;
     bool going_away_ = false;
+    bool unresponsive_ = false;  ///< Only streams that wait for an unresponsive peer are left.
     bool closed_ = false;
 };
 
--- a/drivers/peer/h2_stream.h
+++ b/drivers/peer/h2_stream.h
@@ -44,6 +44,8 @@
     std::uint32_t close_code = 0;  ///< HTTP/2 error code with which the stream was closed.
     bool connection_lost = false;  ///< The session was closed before the stream.
     bool expired = false;          ///< The local deadline expired.
+    /// The stream outlasts a connection that stopped responding, as its answer cannot be asked for again.
+    bool waits_for_unresponsive_peer = false;
 
     async_signal changed;
     boost::asio::cancellation_signal handler_cancellation;  ///< Cancels the server's handler of the stream.
--- a/tests/drivers/peer/peer_network_fakes.h
+++ b/tests/drivers/peer/peer_network_fakes.h
@@ -40,8 +40,16 @@
         }
     }
 
+    /// Holds the traffic of all connections that are open now back, or forwards what was held back.
+    void hold_traffic(bool held) {
+        for (const auto& forwarded_connection : connections_) {
+            forwarded_connection->held = held;
+        }
+    }
+
     void close() {
         acceptor_.close();
+        hold_traffic(false);
         for (const auto& forwarded_connection : connections_) {
             forwarded_connection->client_socket.close();
             forwarded_connection->server_socket.close();
@@ -56,6 +64,7 @@
         tcp::socket client_socket;
         tcp::socket server_socket;
         bool dropping = false;
+        bool held = false;
     };
 
     awaitable<void> accept_loop() {
@@ -89,6 +98,10 @@
                 to.close();
                 co_return;
             }
+            while (owner->held) {
+                boost::asio::steady_timer timer(from.get_executor(), std::chrono::milliseconds(5));
+                co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            }
             if (!owner->dropping) {
                 co_await boost::asio::async_write(to, boost::asio::buffer(buffer.data(), count),
                                                   boost::asio::as_tuple(boost::asio::use_awaitable));
--- a/tests/drivers/peer/unresponsive_peer_test.cpp
+++ b/tests/drivers/peer/unresponsive_peer_test.cpp
@@ -1,5 +1,8 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <ostream>
 
 #include "tests/drivers/peer/peer_fixture.h"
 #include "tests/drivers/peer/peer_network_fakes.h"
@@ -21,6 +24,10 @@
                 ++held;
                 co_await sleep(15s);
             }
+            if (head.path == "/slow") {
+                ++held;
+                co_await sleep(200ms);
+            }
             if (head.path == "/half") {
                 const response_head answer = make_ok_head(10);
                 (void)co_await writer.write_head(answer);
@@ -37,6 +44,8 @@
         pattern_body body(0);
         request_head head = request();
         head.path = std::move(path);
+        head.non_idempotent = non_idempotent;
+        head.deadline = clock.now() + request_timeout;
         co_return co_await pool->exchange(connection_relay->listen_endpoint(), head, body, writer);
     }
 
@@ -53,6 +62,8 @@
     }
 
     std::size_t held = 0;
+    bool non_idempotent = false;                        ///< Of the next calls.
+    std::chrono::milliseconds request_timeout{15'000};  ///< Of the next calls.
     std::vector<endpoint> unresponsive_peers;
     std::unique_ptr<tcp_relay> connection_relay;
 };
@@ -75,6 +86,63 @@
     peers.connection_relay->close();
 }
 
+struct silence_case {
+    const char* name;
+    bool non_idempotent;
+    const char* result;
+};
+
+std::ostream& operator<<(std::ostream& out, const silence_case& value) {
+    return out << value.name;
+}
+
+const std::vector<silence_case> silence_cases{
+    {"an idempotent request can be sent to another peer", false, "outcome_unknown"},
+    {"a non-idempotent request gets its answer", true, "none"},
+};
+
+// Guards against running work that is given up, although it cannot be repeated, because its peer was silent
+// for a while, and against new requests that wait on the silent connection.
+BOOST_DATA_TEST_CASE(peer_that_was_silent_for_a_while, boost::unit_test::data::make(silence_cases), row) {
+    unresponsive_fixture peers;
+    recording_writer writer;
+    std::optional<exchange_result> result;
+    peers.non_idempotent = row.non_idempotent;
+    boost::asio::co_spawn(
+        peers.context, [&]() -> awaitable<void> { result = co_await peers.call("/slow", writer); },
+        boost::asio::detached);
+    peers.run_until([&] { return peers.held == 1; });
+    peers.connection_relay->hold_traffic(true);
+    peers.run_until([&] { return !peers.unresponsive_peers.empty(); });
+    peers.run([&]() -> awaitable<void> {
+        recording_writer other;
+        BOOST_TEST(error_name(co_await peers.call("/", other)) == "none");
+    });
+    BOOST_TEST(peers.connection_relay->connections() == 2U);
+    BOOST_TEST(result.has_value() == !row.non_idempotent);
+    peers.connection_relay->hold_traffic(false);
+    peers.run_until([&] { return result.has_value(); });
+    BOOST_TEST(error_name(*result) == row.result);
+    BOOST_TEST(writer.finished == row.non_idempotent);
+    BOOST_TEST(peers.held == 1U);
+    BOOST_TEST(peers.unresponsive_peers.size() == 1U);
+    peers.run_until([&] { return peers.pool->connections(peers.connection_relay->listen_endpoint()) == 1; });
+    peers.connection_relay->close();
+}
+
+// Guards against an unresponsive connection that a non-idempotent request keeps after its deadline.
+BOOST_AUTO_TEST_CASE(waiting_ends_with_the_deadline) {
+    unresponsive_fixture peers;
+    peers.non_idempotent = true;
+    peers.request_timeout = 1s;
+    recording_writer writer;
+    const auto cut = peers.call_and_drop_traffic("/hold", writer);
+    BOOST_TEST(error_name(cut) == "outcome_unknown");
+    BOOST_TEST(writer.untouched());
+    peers.run_until([&] { return peers.pool->connections(peers.connection_relay->listen_endpoint()) == 0; });
+    peers.connection_relay->close();
+}
+
 // Guards against an incomplete answer that is reported as complete when its connection stops responding.
 BOOST_AUTO_TEST_CASE(unresponsive_connection_breaks_the_answer) {
     unresponsive_fixture peers;
