Rank each member once when choosing whom to ask for a version

choose() computed the rank of a member and of the best one up to four times, and fetch_configuration_from() tested for an empty answer twice.

--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -155,11 +155,10 @@
     const steady_time start = context_.clock.now();
     std::string known = std::to_string(feed_->version());
     const auto answer = co_await peers_.call(peer, table_method, std::move(known), configuration_timeout);
-    const bool replaced =
-        answer.ok() && !answer->empty() && feed_->apply_document(*answer, "peer " + to_string(peer));
     if (answer.ok() && answer->empty()) {
         co_return;  // The peer has no later version. Nodes without the store ask twice a second.
     }
+    const bool replaced = answer.ok() && feed_->apply_document(*answer, "peer " + to_string(peer));
     log_event(event_level::info, "configuration_fetch",
               {{"peer", to_string(peer)},
                {"duration_ms",
--- a/servers/membership/table_catch_up.cpp
+++ b/servers/membership/table_catch_up.cpp
@@ -1,6 +1,6 @@
 #include "servers/membership/table_catch_up.h"
 
-#include <algorithm>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -33,17 +33,19 @@
             missing_version_ && value.availability_zone != members.self().availability_zone);
     };
     std::vector<const member*> best;
+    std::optional<std::tuple<unsigned, bool, bool>> best_rank;
     for (const member* value : members.running()) {
         if (missing_version_ && value->table_version <= members.self().table_version) {
             continue;
         }
-        if (!best.empty() && rank(*value) > rank(*best.front())) {
-            continue;
-        }
-        if (!best.empty() && rank(*value) < rank(*best.front())) {
+        const auto value_rank = rank(*value);
+        if (!best_rank || value_rank < *best_rank) {
+            best_rank = value_rank;
             best.clear();
         }
-        best.push_back(value);
+        if (value_rank == *best_rank) {
+            best.push_back(value);
+        }
     }
     return best.empty() ? nullptr : best[random_() % best.size()];
 }
