--- a/review/rig2.py
+++ b/review/rig2.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -98,10 +99,22 @@
         return b""
 
 
+def loopback(index):
+    """Returns a loopback address of this process, so that scripts that run at the same time do not meet."""
+    pid = os.getpid()
+    return "127.%d.%d.%d" % (64 + pid % 128, pid // 128 % 250 + 1, index)
+
+
 def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Returns a free port below the range from which the system takes the ports of outgoing connections."""
+    while True:
+        port = random.randrange(10000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+                return port
+            except OSError:
+                pass
 
 
 def reset(sock):
@@ -119,7 +132,7 @@
     def __init__(self, ip, port, serve):
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind((ip, port))
+        self.sock.bind((ip, port or free_port(ip)))
         self.sock.listen(512)
         self.address = "%s:%d" % (ip, self.sock.getsockname()[1])
         self.serve = serve
@@ -155,12 +168,12 @@
 class Store:
     """The platform's store: append-only topics with one partition, and the newest record of each key."""
 
-    def __init__(self, record, ip="127.0.0.2"):
+    def __init__(self, record):
         self.record = record
         self.changed = threading.Condition()
         self.topics = {}
         self.before_answer = None  # Called with (name, query) before each answer; may sleep, or return "lose".
-        self.listener = Listener(ip, 0, self.serve)
+        self.listener = Listener(loopback(2), 0, self.serve)
         self.address = self.listener.address
 
     def append(self, topic, key, value):
@@ -342,7 +355,9 @@
     def __init__(self, fleet, name, zone, service, ip):
         self.fleet, self.name, self.zone, self.service, self.ip = fleet, name, zone, service, ip
         self.process = None
-        ports = [free_port(ip) for _ in range(4)]
+        ports = set()
+        while len(ports) < 4:
+            ports.add(free_port(ip))
         self.caller, self.control, self.ready, self.peer = ["%s:%d" % (ip, port) for port in ports]
         self.backend = None
         self.starts = 0
@@ -407,7 +422,7 @@
             self.add(index, zone, service)
 
     def add(self, index, zone, service):
-        ip = "127.0.1.%d" % (index + 10)
+        ip = loopback(index + 10)
         node = Node(self, "n%d" % index, zone, service, ip)
         node.backend = Backend(self.record, "i-%d" % index, service, zone, ip, node.control)
         self.nodes.append(node)
