Follow a store that was restored from an older copy

Cause: after a restore the store assigns offsets again and lacks records that were written since the copy. Nodes read on at offsets of the earlier generation, nobody wrote lost registrations again, and a node that started meanwhile served the older version of the store although its peers had a later one. Change: the store's answers name a generation. When it rises, the configuration feed reads the newest records and the node writes its record again within 5 s. A node asks up to three registered nodes for a later version before it applies its first configuration, for at most 1 s.

--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -53,7 +53,9 @@
     if (reader != reader_) {
         co_return status;
     }
-    if (absl::IsOutOfRange(status)) {
+    if (era_ && store_.era() > *era_) {
+        status = co_await read_after_restore();
+    } else if (absl::IsOutOfRange(status)) {
         log_event(
             event_level::info, "configuration_gap",
             {{"topic", source_.topic}, {"offset", *next_offset_}, {"reason", std::string(status.message())}});
@@ -69,17 +71,41 @@
 
 awaitable<absl::Status> configuration_feed::read_newest() {
     const std::uint64_t reader = reader_;
+    const std::uint64_t era_before = store_.era();
     const auto found = co_await store_.read_newest(source_.topic);
     if (!found.ok()) {
         co_return found.status();
     }
+    // When the store was restored during this read, era() is later than the one kept here, and the records
+    // are read once more.
+    const std::uint64_t era = era_before == 0 ? store_.era() : era_before;
+    if (!current_ && hooks_.ask_peers) {
+        co_await hooks_.ask_peers(newest_version_in(*found));
+    }
     apply_records(*found);
     if (reader == reader_) {
         next_offset_ = found->end;
+        era_ = era;
     }
     co_return absl::OkStatus();
 }
 
+// Offsets of the earlier generation may have been assigned to other records since, so that reading on from
+// one would miss records.
+awaitable<absl::Status> configuration_feed::read_after_restore() {
+    log_event(event_level::warning, "store_restored",
+              {{"topic", source_.topic},
+               {"era", store_.era()},
+               {"replaces_era", *era_},
+               {"version_in_force", version()}});
+    next_offset_.reset();
+    era_ = store_.era();
+    if (hooks_.on_store_restored) {
+        hooks_.on_store_restored();
+    }
+    co_return co_await read_newest();
+}
+
 awaitable<absl::Status> configuration_feed::read_next() {
     const std::uint64_t reader = reader_;
     const auto found = co_await store_.read_from(source_.topic, *next_offset_, next_read_wait());
@@ -101,6 +127,17 @@
     }
 }
 
+std::uint64_t configuration_feed::newest_version_in(const keyed_records& found) const {
+    std::uint64_t newest = 0;
+    for (const keyed_record& record : found.records) {
+        if (record.key == source_.key && !record.value.empty()) {
+            const absl::StatusOr<configuration> decoded = source_.decode(record.value);
+            newest = std::max(newest, decoded.ok() ? decoded->version : 0);
+        }
+    }
+    return newest;
+}
+
 bool configuration_feed::apply_document(std::string_view document, std::string_view origin) {
     absl::StatusOr<configuration> decoded = source_.decode(document);
     if (!decoded.ok()) {
--- a/modules/node/configuration_feed.h
+++ b/modules/node/configuration_feed.h
@@ -33,6 +33,12 @@
     /// Called with the reason when the store becomes unavailable, and with an empty reason when it is
     /// available again.
     std::function<void(const std::string& reason)> on_availability;
+    /// Asks other nodes for a later configuration than this version, before the first one from the store
+    /// takes effect: a store that was restored from an older copy may hold a version that is no longer in
+    /// force. Must complete within a bounded time. Null when the store is trusted.
+    std::function<awaitable<void>(std::uint64_t version)> ask_peers = nullptr;
+    /// Called when the store was restored from an older copy, so that records of this node may be missing.
+    std::function<void()> on_store_restored = nullptr;
 };
 
 /// Follows the operator's document on the store. Reads the newest record at the start and after each gap, and
@@ -64,7 +70,9 @@
 private:
     awaitable<absl::Status> read_newest();
     awaitable<absl::Status> read_next();
+    awaitable<absl::Status> read_after_restore();
     void apply_records(const keyed_records& found);
+    [[nodiscard]] std::uint64_t newest_version_in(const keyed_records& found) const;
     void update_availability(const absl::Status& status);
     std::chrono::milliseconds next_backoff();
     std::chrono::milliseconds next_read_wait();
@@ -76,6 +84,7 @@
     const configuration_feed_hooks hooks_;
     std::optional<configuration> current_;
     std::optional<std::uint64_t> next_offset_;  ///< Empty until the newest record has been read.
+    std::optional<std::uint64_t> era_;          ///< Generation of the store to which next_offset_ belongs.
     bool store_available_ = true;
     std::uint64_t reader_ =
         0;  ///< Number of the run() in charge. Reads of earlier ones do not change the state.
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -74,6 +75,8 @@
 private:
     static constexpr std::string_view table_method = "table";
 
+    struct pending_calls;
+
     void spawn(awaitable<void> task, std::string_view name);
     awaitable<void> run_periodically(std::chrono::milliseconds period, std::function<void()> work);
     void start_timers();
@@ -96,6 +99,10 @@
     /// Fetches the configuration from another node when that is due.
     void fetch_later_configuration();
     awaitable<void> fetch_configuration_from(endpoint peer);
+    /// Asks some registered nodes for a later configuration than this version. Ends when they have answered,
+    /// or after a second.
+    awaitable<void> ask_peers(std::uint64_t version);
+    awaitable<void> ask_peer(endpoint peer, std::uint64_t version, std::shared_ptr<pending_calls> pending);
     /// Sets, for each guarded target, the number of targets that share the retry budget of its service.
     void update_retry_budgets();
     void on_log_tick();
@@ -141,6 +148,8 @@
     std::unique_ptr<keyed_store> store_;
     std::unique_ptr<configuration_feed> feed_;
     std::unique_ptr<node_registration> registration_;
+    /// Peer endpoints of the registered nodes; empty until the store has answered.
+    std::optional<std::vector<endpoint>> registered_peers_;
     table_catch_up catch_up_;
     std::uint64_t last_snapshot_offset_ = 0;  ///< End of the log after the latest own snapshot record.
 };
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -1,6 +1,11 @@
 // Implements the functions of control_plane for the log, the table and the slots.
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iterator>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -17,6 +22,11 @@
 // Short enough that after a call to an unreachable member another member can be tried within the 2 s in which
 // a new version must take effect.
 constexpr std::chrono::milliseconds configuration_timeout{700};
+// A node that starts serves the store's version after this time also when no other node answers, because the
+// store may be right and callers wait.
+constexpr std::chrono::milliseconds first_configuration_wait{1'000};
+constexpr std::chrono::milliseconds registration_poll_interval{20};
+constexpr std::size_t first_configuration_peers = 3;
 
 }  // namespace
 
@@ -111,7 +121,9 @@
                     context_.metrics.set_log_available(reason.empty());
                     log_event(event_level::warning, "store_availability",
                               {{"available", reason.empty()}, {"reason", reason}});
-                }});
+                },
+            .ask_peers = [this](std::uint64_t version) { return ask_peers(version); },
+            .on_store_restored = [this] { spawn(registration_->rewrite(), "registration_rewrite"); }});
     registration_ =
         std::make_unique<node_registration>(*store_, registered_node{context_.self, settings.peer_advertise},
                                             [this](std::vector<registered_node> nodes) {
@@ -121,6 +133,7 @@
                                                     contacts.push_back(node.peer);
                                                 }
                                                 fleet_.add_seeds(contacts);
+                                                registered_peers_ = std::move(contacts);
                                             });
 }
 
@@ -169,6 +182,56 @@
                {"reason", std::string(answer.status().message())}});
 }
 
+/// Calls that ask_peers() waits for.
+struct control_plane::pending_calls {
+    std::size_t count;
+    boost::asio::steady_timer ended;  ///< Cancelled when the last call has ended.
+};
+
+awaitable<void> control_plane::ask_peers(std::uint64_t version) {
+    using boost::asio::as_tuple;
+    using boost::asio::use_awaitable;
+    const steady_time end = context_.clock.now() + first_configuration_wait;
+    auto pending = std::make_shared<pending_calls>(0, boost::asio::steady_timer(control_io_));
+    while (!registered_peers_ && context_.clock.now() < end) {
+        pending->ended.expires_after(registration_poll_interval);
+        (void)co_await pending->ended.async_wait(as_tuple(use_awaitable));
+    }
+    std::vector<endpoint> chosen;
+    if (registered_peers_) {
+        std::mt19937_64 random(context_.self.incarnation);
+        std::sample(registered_peers_->begin(), registered_peers_->end(), std::back_inserter(chosen),
+                    first_configuration_peers, random);
+    }
+    pending->count = chosen.size();
+    pending->ended.expires_after(std::max(end - context_.clock.now(), std::chrono::nanoseconds::zero()));
+    for (const endpoint& peer : chosen) {
+        spawn(ask_peer(peer, version, pending), "ask_peer");
+    }
+    if (!chosen.empty()) {
+        (void)co_await pending->ended.async_wait(as_tuple(use_awaitable));
+    }
+    log_event(event_level::info, "first_configuration_confirmed",
+              {{"store_version", version},
+               {"version_in_force", feed_->version()},
+               {"asked", chosen.size()},
+               {"unanswered", pending->count}});
+}
+
+awaitable<void> control_plane::ask_peer(endpoint peer, std::uint64_t version,
+                                        std::shared_ptr<pending_calls> pending) {
+    const absl::Cleanup end_call = [&pending] {
+        if (--pending->count == 0) {
+            pending->ended.cancel();
+        }
+    };
+    std::string known = std::to_string(version);
+    const auto answer = co_await peers_.call(peer, table_method, std::move(known), configuration_timeout);
+    if (answer.ok() && !answer->empty()) {
+        feed_->apply_document(*answer, "peer " + to_string(peer));
+    }
+}
+
 std::uint64_t control_plane::table_version() const {
     return feed_ ? feed_->version() : replica_.version();
 }
--- a/modules/node/node_registration.cpp
+++ b/modules/node/node_registration.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds min_retry_delay{200};
 constexpr std::chrono::milliseconds max_retry_delay{2'000};
+constexpr std::chrono::milliseconds max_rewrite_delay{5'000};
 /// Nodes that start at the same time write their records within this time; a second read finds the records
 /// that the first one missed.
 constexpr std::chrono::milliseconds second_read_delay{1'500};
@@ -45,7 +46,11 @@
 
 node_registration::node_registration(keyed_store& store, registered_node self,
                                      std::function<void(std::vector<registered_node>)> on_found)
-    : store_(store), self_(std::move(self)), on_found_(std::move(on_found)) {}
+    : store_(store),
+      self_(std::move(self)),
+      on_found_(std::move(on_found)),
+      random_(static_cast<std::minstd_rand::result_type>(
+          stable_hash(self_.identity.name) % std::minstd_rand::max() + 1)) {}
 
 awaitable<void> node_registration::join() {
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
@@ -65,7 +70,22 @@
     }
 }
 
+awaitable<void> node_registration::rewrite() {
+    const std::uint64_t rewrite = ++rewrites_;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    std::uniform_int_distribution<std::int64_t> spread(0, max_rewrite_delay.count());
+    timer.expires_after(std::chrono::milliseconds(spread(random_)));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    std::chrono::milliseconds retry_delay = min_retry_delay;
+    while (rewrite == rewrites_ && !(co_await write()).ok()) {
+        timer.expires_after(retry_delay);
+        retry_delay = std::min(retry_delay * 2, max_retry_delay);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
 awaitable<void> node_registration::leave() {
+    ++rewrites_;
     const absl::Status status = co_await store_.put(std::string(topic), self_.identity.name, "");
     log_event(status.ok() ? event_level::info : event_level::warning, "registration_dropped",
               {{"node", self_.identity.name}, {"reason", std::string(status.message())}});
--- a/modules/node/node_registration.h
+++ b/modules/node/node_registration.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -38,6 +40,10 @@
     /// Writes the own record and reads those of the other nodes twice. Retries with exponential backoff until
     /// this has succeeded.
     awaitable<void> join();
+    /// Writes the own record again after the store was restored from an older copy. Starts after a random
+    /// time of up to 5 s, so that the nodes of a large fleet do not all write at the same moment, and retries
+    /// until this has succeeded or another restore has replaced this one.
+    awaitable<void> rewrite();
     /// Deletes the registration record of a node that stops permanently.
     awaitable<void> leave();
 
@@ -48,6 +54,8 @@
     keyed_store& store_;
     const registered_node self_;
     const std::function<void(std::vector<registered_node>)> on_found_;
+    std::minstd_rand random_;
+    std::uint64_t rewrites_ = 0;  ///< Number of the rewrite() in charge.
 };
 
 }  // namespace teaselpitch
--- a/servers/table/keyed_store.h
+++ b/servers/table/keyed_store.h
@@ -40,6 +40,11 @@
     /// Appends a record. After any error except FAILED_PRECONDITION the record may have been stored.
     virtual awaitable<absl::Status> put(std::string topic, std::string key, std::string value) = 0;
 
+    /// Latest generation of the store that an answer named. It rises when the store was restored from an
+    /// older copy: offsets are then assigned again, and records written since the copy are gone. 0 when the
+    /// store names none.
+    [[nodiscard]] virtual std::uint64_t era() const { return 0; }
+
 protected:
     keyed_store() = default;
     keyed_store(const keyed_store&) = default;
--- a/tests/modules/node/configuration_feed_test.cpp
+++ b/tests/modules/node/configuration_feed_test.cpp
@@ -44,7 +44,11 @@
         co_return absl::OkStatus();
     }
 
+    [[nodiscard]] std::uint64_t era() const override { return current_era; }
+
     std::deque<absl::StatusOr<keyed_records>> answers;
+    std::deque<std::uint64_t> eras;  ///< Generations that the answers name; the last one stays.
+    std::uint64_t current_era = 0;
     std::string calls;
     std::vector<std::chrono::milliseconds> waits;  ///< Of the long-polling reads.
     boost::asio::steady_timer* lost_answer = nullptr;
@@ -52,6 +56,10 @@
 
 private:
     absl::StatusOr<keyed_records> next_answer() {
+        if (!eras.empty()) {
+            current_era = eras.front();
+            eras.pop_front();
+        }
         absl::StatusOr<keyed_records> answer = absl::UnavailableError("no scripted answer is left");
         if (!answers.empty()) {
             answer = std::move(answers.front());
@@ -73,6 +81,21 @@
     return result;
 }
 
+/// Reads until all scripted answers are used, and once more.
+void read_all(configuration_feed& feed, scripted_store& store) {
+    boost::asio::io_context context;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            while (!store.answers.empty()) {
+                (void)co_await feed.read_once();
+            }
+            (void)co_await feed.read_once();
+        },
+        [](std::exception_ptr failure) { BOOST_TEST(!failure); });
+    context.run();
+}
+
 keyed_records make_records(std::vector<keyed_record> list, std::uint64_t end) {
     return {.records = std::move(list), .end = end};
 }
@@ -147,17 +170,7 @@
         clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
         {.on_configuration = [&](const configuration& next) { versions.push_back(next.version); },
          .on_availability = [](const std::string&) {}});
-    boost::asio::io_context context;
-    boost::asio::co_spawn(
-        context,
-        [&]() -> awaitable<void> {
-            while (!store.answers.empty()) {
-                (void)co_await feed.read_once();
-            }
-            (void)co_await feed.read_once();
-        },
-        [](std::exception_ptr failure) { BOOST_TEST(!failure); });
-    context.run();
+    read_all(feed, store);
     BOOST_TEST(versions == row.versions, boost::test_tools::per_element());
     BOOST_TEST(store.calls == row.calls);
 }
@@ -230,6 +243,120 @@
     BOOST_TEST(store.calls == "nr5r5r7");
 }
 
+struct restore_case {
+    const char* name;
+    std::vector<absl::StatusOr<keyed_records>> answers;
+    std::deque<std::uint64_t> eras;
+    std::vector<std::uint64_t> versions;
+    std::string calls;
+    int restores;
+};
+
+std::ostream& operator<<(std::ostream& out, const restore_case& value) {
+    return out << value.name;
+}
+
+const std::vector<restore_case> restore_cases{
+    {"the era stays",
+     {make_records({make_document("3", 4)}, 5), make_records({make_document("4", 5)}, 6)},
+     {1, 1},
+     {3, 4},
+     "nr5r6",
+     0},
+    {"offsets were assigned again while the reader slept",
+     {make_records({make_document("3", 4)}, 5), make_records({}, 9),
+      make_records({make_document("6", 3)}, 9)},
+     {1, 2, 2},
+     {3, 6},
+     "nr5nr9",
+     1},
+    {"the offset lies beyond the end of the restored store",
+     {make_records({make_document("3", 4)}, 5), absl::OutOfRangeError("beyond the end"),
+      make_records({make_document("2", 1)}, 2), make_records({make_document("4", 2)}, 3)},
+     {1, 2, 2, 2},
+     {3, 4},
+     "nr5nr2r3",
+     1},
+    {"two restores in a row",
+     {make_records({make_document("3", 4)}, 5), make_records({}, 6), make_records({make_document("3", 4)}, 5),
+      make_records({}, 5), make_records({make_document("5", 3)}, 5)},
+     {1, 2, 3, 3},
+     {3, 5},
+     "nr5nr5nr5",
+     2},
+    {"the restored store is not ready yet",
+     {make_records({make_document("3", 4)}, 5), absl::UnavailableError("restoring"),
+      absl::UnavailableError("restoring"), make_records({make_document("4", 5)}, 6)},
+     {1, 2, 2, 2},
+     {3, 4},
+     "nr5nnr6",
+     1},
+};
+
+// Guards against a reader that goes on at an offset of the store's earlier generation: it would miss the
+// records that were assigned to lower offsets since, or go back to an older version.
+BOOST_DATA_TEST_CASE(reads_the_newest_records_after_a_restore, boost::unit_test::data::make(restore_cases),
+                     row) {
+    scripted_store store;
+    store.answers.assign(row.answers.begin(), row.answers.end());
+    store.eras = row.eras;
+    std::vector<std::uint64_t> versions;
+    int restores = 0;
+    manual_time_source clock;
+    configuration_feed feed(
+        clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+        {.on_configuration = [&](const configuration& next) { versions.push_back(next.version); },
+         .on_availability = [](const std::string&) {},
+         .on_store_restored = [&restores] { ++restores; }});
+    read_all(feed, store);
+    BOOST_TEST(versions == row.versions, boost::test_tools::per_element());
+    BOOST_TEST(store.calls == row.calls);
+    BOOST_TEST(restores == row.restores);
+}
+
+struct first_version_case {
+    const char* name;
+    std::string peer_document;  ///< Empty when no peer has a later version.
+    std::vector<std::uint64_t> versions;
+};
+
+std::ostream& operator<<(std::ostream& out, const first_version_case& value) {
+    return out << value.name;
+}
+
+const std::vector<first_version_case> first_version_cases{
+    {"no peer has a later version", "", {3}},
+    {"a peer has a later version", "7", {7}},
+    {"a peer has an older version", "2", {2, 3}},
+};
+
+// Guards against a node that starts with an older version from a restored store although other nodes have a
+// later one in force: it would serve removed routes and withdrawn keys.
+BOOST_DATA_TEST_CASE(peers_are_asked_before_the_first_version,
+                     boost::unit_test::data::make(first_version_cases), row) {
+    scripted_store store;
+    store.answers = {make_records({make_document("3", 4)}, 5), make_records({make_document("3", 5)}, 6)};
+    std::vector<std::uint64_t> versions;
+    std::vector<std::uint64_t> asked;
+    manual_time_source clock;
+    configuration_feed* reader = nullptr;
+    configuration_feed feed(
+        clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+        {.on_configuration = [&](const configuration& next) { versions.push_back(next.version); },
+         .on_availability = [](const std::string&) {},
+         .ask_peers = [&](std::uint64_t version) -> awaitable<void> {
+             asked.push_back(version);
+             if (!row.peer_document.empty()) {
+                 reader->apply_document(row.peer_document, "peer");
+             }
+             co_return;
+         }});
+    reader = &feed;
+    read_all(feed, store);
+    BOOST_TEST(versions == row.versions, boost::test_tools::per_element());
+    BOOST_TEST(asked == std::vector<std::uint64_t>{3}, boost::test_tools::per_element());
+}
+
 // Guards against nodes whose reads all end at the same moment, so that none of them notices soon that their
 // answers were lost.
 BOOST_AUTO_TEST_CASE(waits_of_reads_differ) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -100,6 +100,29 @@
     BOOST_TEST(offsets == row.offsets, boost::test_tools::per_element());
 }
 
+struct era_case {
+    const char* name;
+    std::vector<header_field> headers;
+    std::optional<std::uint64_t> era;
+};
+
+std::ostream& operator<<(std::ostream& out, const era_case& value) {
+    return out << value.name;
+}
+
+const std::vector<era_case> era_cases{
+    {"no field", {{"Content-Type", "application/json"}}, std::nullopt},
+    {"a number", {{"store-era", "12"}}, 12},
+    {"text", {{"Store-Era", "later"}}, std::nullopt},
+    {"negative", {{"Store-Era", "-1"}}, std::nullopt},
+    {"beyond 64 bits", {{"Store-Era", "99999999999999999999"}}, std::nullopt},
+};
+
+// Guards against a malformed generation that is taken for a restore of the store.
+BOOST_DATA_TEST_CASE(the_generation_is_read, boost::unit_test::data::make(era_cases), row) {
+    BOOST_TEST((read_era(row.headers) == row.era));
+}
+
 // Guards against a page that is treated as the last one or loses records.
 BOOST_DATA_TEST_CASE(pages_are_decoded, boost::unit_test::data::make(page_cases), row) {
     const auto page = decode_newest_page(row.answer);
