Add the directory of client accounts to configuration and routing table

Cause: callers are to identify themselves by the key of a client account, and quotas need the account's limits. No component held accounts.

The configuration and the routing table carry the directory, and each new version logs and exports its number of accounts. Route rows gain the column access, which is blank by default, so that nodes without it accept the rows.

Conclusion: no request is treated differently yet.

--- a/modules/node/configuration.h
+++ b/modules/node/configuration.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "servers/admission/account_directory.h"
 #include "servers/exchange/caller_limits.h"
 #include "servers/table/table.h"
 
@@ -17,6 +18,8 @@
     std::uint64_t version = 0;
     std::shared_ptr<const table> rows;
     caller_limits limits;
+    /// Never null; empty when requests need no key.
+    std::shared_ptr<const account_directory> accounts = std::make_shared<const account_directory>();
     std::string document;  ///< As it is stored; nodes forward it to each other unchanged.
 };
 
--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -117,7 +117,8 @@
               {{"version", decoded->version},
                {"replaces", version()},
                {"origin", origin},
-               {"routes", decoded->rows->routes().size()}});
+               {"routes", decoded->rows->routes().size()},
+               {"accounts", decoded->accounts->size()}});
     current_ = *std::move(decoded);
     if (reading_ && !overtaken_at_ && origin != store_origin) {
         overtaken_at_ = clock_.now();
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -92,7 +92,8 @@
     /// it.
     void publish_snapshot();
     void on_configuration(const configuration& next);
-    void install_table(std::shared_ptr<const table> rows, std::uint64_t version);
+    void install_table(std::shared_ptr<const table> rows, std::shared_ptr<const account_directory> accounts,
+                       std::uint64_t version);
     /// Fetches the configuration from another node when that is due.
     void fetch_later_configuration();
     awaitable<void> fetch_configuration_from(endpoint peer);
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -21,14 +21,18 @@
 }  // namespace
 
 void control_plane::on_table() {
-    install_table(replica_.current(), replica_.version());
+    install_table(replica_.current(), std::make_shared<const account_directory>(), replica_.version());
 }
 
-void control_plane::install_table(std::shared_ptr<const table> rows, std::uint64_t version) {
-    auto routing = std::make_shared<const routing_table>(rows, context_.settings.availability_zone);
+void control_plane::install_table(std::shared_ptr<const table> rows,
+                                  std::shared_ptr<const account_directory> accounts, std::uint64_t version) {
+    const std::size_t account_count = accounts->size();
+    auto routing =
+        std::make_shared<const routing_table>(rows, context_.settings.availability_zone, std::move(accounts));
     context_.routing.update(routing);
     fleet_.set_table_version(version);
     context_.metrics.set_table_version(version);
+    context_.metrics.set_account_count(account_count);
     std::set<std::string> services;
     rows->services().for_each([&services](const service_row& row) { services.insert(row.service); });
     for (const std::string& service : services) {
@@ -36,7 +40,10 @@
     }
     context_.targets.on_rules();
     log_event(event_level::info, "table_in_force",
-              {{"version", version}, {"services", services.size()}, {"routes", rows->routes().size()}});
+              {{"version", version},
+               {"services", services.size()},
+               {"routes", rows->routes().size()},
+               {"accounts", account_count}});
 }
 
 void control_plane::on_record(const wire::StoredRecord& record, const apply_result& result) {
@@ -125,7 +132,7 @@
 }
 
 void control_plane::on_configuration(const configuration& next) {
-    install_table(next.rows, next.version);
+    install_table(next.rows, next.accounts, next.version);
     context_.has_configuration = true;
     hooks_.limits_changed(next.limits);
 }
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -47,9 +47,13 @@
           register_histograms(registry_, "teaselpitch_target_seconds", "Time until the target's head")),
       store_calls_(
           register_counters(registry_, "teaselpitch_store_calls_total", "Calls to the platform's store")),
+      unauthenticated_requests_(register_counters(registry_, "teaselpitch_unauthenticated_requests_total",
+                                                  "Requests refused because of their key, by reason")),
       silent_connections_(register_counters(registry_, "teaselpitch_silent_connections_total",
                                             "Peer connections replaced because they went silent")
                               .Add({})),
+      accounts_(register_gauge(registry_, "teaselpitch_accounts",
+                               "Client accounts of the configuration in force; 0 when requests need no key")),
       table_version_(
           register_gauge(registry_, "teaselpitch_table_version", "Version of the table in force here")),
       known_nodes_(register_gauge(registry_, "teaselpitch_known_nodes", "Live nodes in this node's view")),
@@ -86,6 +90,14 @@
     silent_connections_.Increment();
 }
 
+void node_metrics::count_unauthenticated(std::string_view reason) {
+    unauthenticated_requests_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void node_metrics::set_account_count(std::size_t accounts) {
+    accounts_.Set(static_cast<double>(accounts));
+}
+
 void node_metrics::set_table_version(std::uint64_t version) {
     table_version_.Set(static_cast<double>(version));
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -26,6 +26,9 @@
     void count_gate_refusal(std::string_view service, error_kind error);
     void count_gate_run(std::string_view service, std::chrono::nanoseconds latency);
     void count_silent_connection();
+    /// Counts a request that was refused because of its key; `reason` is missing, unknown or several.
+    void count_unauthenticated(std::string_view reason);
+    void set_account_count(std::size_t accounts);
     void set_table_version(std::uint64_t version);
     void set_known_counts(std::size_t nodes, std::size_t targets);
     void count_store_call(std::string_view call, unsigned status);
@@ -44,7 +47,9 @@
     prometheus::Family<prometheus::Counter>& gate_refusals_;
     prometheus::Family<prometheus::Histogram>& target_seconds_;
     prometheus::Family<prometheus::Counter>& store_calls_;
+    prometheus::Family<prometheus::Counter>& unauthenticated_requests_;
     prometheus::Counter& silent_connections_;
+    prometheus::Gauge& accounts_;
     prometheus::Gauge& table_version_;
     prometheus::Gauge& known_nodes_;
     prometheus::Gauge& known_targets_;
--- a/modules/node/routing_table.cpp
+++ b/modules/node/routing_table.cpp
@@ -32,15 +32,20 @@
                            .attempts = row.attempts,
                            .objective = std::chrono::milliseconds{row.objective_ms},
                            .priority = row.priority,
-                           .split = parse_split(row.split).value_or(std::vector<split_part>{})});
+                           .split = parse_split(row.split).value_or(std::vector<split_part>{}),
+                           .is_public = row.access == route_access::everyone});
     });
     return entries;
 }
 
 }  // namespace
 
-routing_table::routing_table(std::shared_ptr<const table> rows, std::string zone)
-    : rows_(std::move(rows)), zone_(std::move(zone)), routes_(route_entries(*rows_)) {}
+routing_table::routing_table(std::shared_ptr<const table> rows, std::string zone,
+                             std::shared_ptr<const account_directory> accounts)
+    : rows_(std::move(rows)),
+      zone_(std::move(zone)),
+      accounts_(std::move(accounts)),
+      routes_(route_entries(*rows_)) {}
 
 std::chrono::milliseconds routing_table::timeout_of(const route_match& match) const {
     if (match.timeout.count() > 0) {
--- a/servers/routing/route_index.cpp
+++ b/servers/routing/route_index.cpp
@@ -67,7 +67,8 @@
                        .attempts = found->attempts,
                        .objective = found->objective,
                        .priority = found->priority,
-                       .split = found->split};
+                       .split = found->split,
+                       .is_public = found->is_public};
 }
 
 const route_entry* route_index::find_in_host(std::string_view host, std::string_view path) const {
--- a/servers/routing/route_index.h
+++ b/servers/routing/route_index.h
@@ -33,6 +33,7 @@
     std::chrono::milliseconds objective{0};  ///< Latency objective; 0 when the route has none.
     std::uint32_t priority = 0;              ///< Lower numbers are served first.
     std::vector<split_part> split{};         ///< Empty when all requests go to `service`.
+    bool is_public = false;                  ///< Requests need no key of a client account.
 };
 
 /// The route of one request. The views refer to the index and are valid for its lifetime.
@@ -45,6 +46,7 @@
     std::chrono::milliseconds objective{0};
     std::uint32_t priority = 0;
     std::span<const split_part> split{};
+    bool is_public = false;
 };
 
 /// Returns true when the rule makes a request with this method non-idempotent.
--- a/servers/table/columns.cpp
+++ b/servers/table/columns.cpp
@@ -15,7 +15,7 @@
 
 template <typename Row>
 using row_field = std::variant<std::string Row::*, std::uint32_t Row::*, double Row::*,
-                               detection_policy Row::*, non_idempotent_rule Row::*>;
+                               detection_policy Row::*, non_idempotent_rule Row::*, route_access Row::*>;
 
 template <typename Row>
 struct bound_column {
@@ -33,6 +33,12 @@
     return names;
 }
 
+const std::array<std::string_view, 2>& access_names() {
+    static const std::array<std::string_view, 2> names{to_string(route_access::accounts),
+                                                       to_string(route_access::everyone)};
+    return names;
+}
+
 constexpr double max_name_length = 100;
 constexpr double max_path_length = 1'000;
 constexpr double hour_ms = 3'600'000;
@@ -250,6 +256,9 @@
           "",
           "Shares of the services as SERVICE:WEIGHT|...; blank sends all requests to the service."},
          &row::split},
+        {{"access", type::choice, false, false, 0, 0, access_names(), "",
+          "Whether everyone may send requests, or only client accounts; without accounts everyone may."},
+         &row::access},
     });
     return columns;
 }
@@ -484,7 +493,9 @@
         case column_type::choice:
             break;
     }
-    return fmt::format("one of {}", fmt::join(description.choices, ", "));
+    std::vector<std::string_view> names(description.choices.begin(), description.choices.end());
+    std::erase(names, std::string_view());  // A blank cell is a default, which is described on its own.
+    return fmt::format("one of {}", fmt::join(names, ", "));
 }
 
 any_row parse_row(row_kind kind, std::span<const std::string> cells, std::vector<table_issue>& issues) {
--- a/servers/table/rows.cpp
+++ b/servers/table/rows.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::array<std::string_view, 3> kind_names{"service", "route", "account"};
 constexpr std::array<std::string_view, 3> rule_names{"auto", "yes", "no"};
+// A blank default, because nodes that do not know the column accept only blank cells in it.
+constexpr std::array<std::string_view, 2> access_names{"", "everyone"};
 
 }  // namespace
 
@@ -36,6 +38,10 @@
     return rule_names[static_cast<std::size_t>(value)];
 }
 
+std::string_view to_string(route_access value) {
+    return access_names[static_cast<std::size_t>(value)];
+}
+
 row_kind kind_of(const any_row& row) {
     return std::visit([](const auto& value) { return value.kind; }, row);
 }
--- a/servers/table/rows.h
+++ b/servers/table/rows.h
@@ -37,6 +37,12 @@
 
 std::string_view to_string(non_idempotent_rule value);
 
+/// Who may send requests of a route when the configuration has client accounts.
+enum class route_access : std::uint8_t { accounts, everyone };
+
+/// Returns the name of a value; that of the default is empty.
+std::string_view to_string(route_access value);
+
 // The member initialisers of the rows are the defaults for blank cells.
 
 /// Settings of a service in one availability zone, or in all zones without a row of their own.
@@ -74,6 +80,7 @@
     std::uint32_t objective_ms = 0;  ///< Latency limit of the objective; 0 uses the objective of the service.
     std::uint32_t priority = 0;      ///< Requests with a lower number are served first.
     std::string split;  ///< Traffic split as SERVICE:WEIGHT|...; empty sends all requests to `service`.
+    route_access access = route_access::accounts;
 
     [[nodiscard]] row_key key() const { return {host, path_prefix}; }
     bool operator==(const route_row&) const = default;
