Check the key of each request at the ingress and tell targets its account

Cause: targets could not tell which account a request belongs to, and nothing kept callers without a key out.

Change: after the route was found and before the body is read, the ingress looks up the key in the configuration in force. A request without a known key on a route that is not public ends with the new error kind unauthenticated (401, not run). The key and the caller's own value of the account field are removed, and the account's name is added as the field for targets, so peers and gates forward it like any other field. The account's rank replaces that of the route. The check is repeated before each attempt: a key that was withdrawn meanwhile ends a request that has not been sent, and one that may have run gets the result of that attempt. Without accounts both fields are forwarded and nothing changes.

Conclusion: accounts are enforced at the ingress. A request that waits in a gate's queue is not checked again.

--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -143,6 +143,8 @@
     hooks.admit_while_stopping = [this](const request_head& head) {
         return router_.admit_while_stopping(head);
     };
+    hooks.check_account = [this](const request_head& received, const route_decision& route,
+                                 request_head& head) { return router_.check_account(received, route, head); };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
     hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/event_log.h"
+#include "servers/admission/account_check.h"
 
 namespace teaselpitch {
 namespace {
@@ -62,11 +63,34 @@
     decision.attempts = match->attempts;
     decision.objective = match->objective;
     decision.rank = match->priority;
+    decision.is_public = match->is_public;
     decision.inherited_retry = context_.targets.retry_share();
     decision.work_class = stable_hash(match->path_prefix, stable_hash(head.host));
     return decision;
 }
 
+refusal request_router::check_account(const request_head& received, const route_decision& route,
+                                      request_head& head) {
+    const auto routing = context_.routing.read();
+    const account_directory& accounts = routing->accounts();
+    if (accounts.empty()) {
+        return {};
+    }
+    // The route of a waiting request may have changed since it was found. One that was removed is still
+    // served.
+    const auto match = routing->routes().find(head.host, head.path, head.method);
+    const bool is_public = match ? match->is_public : route.is_public;
+    const key_check checked = check_key(accounts, context_.dialect, received.headers);
+    set_account(context_.dialect, received, checked.account, head);
+    const std::uint32_t route_rank = match ? match->priority : route.rank;
+    head.rank = checked.account == nullptr ? route_rank : checked.account->rank.value_or(route_rank);
+    if (checked.account != nullptr || is_public) {
+        return {};
+    }
+    context_.metrics.count_unauthenticated(to_string(checked.verdict));
+    return {error_kind::unauthenticated, std::string(describe(checked.verdict)), std::nullopt};
+}
+
 refusal request_router::admit_while_stopping(const request_head& head) const {
     const steady_time now = context_.clock.now();
     const std::optional<drain_schedule> schedule = context_.stop_schedule();
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -54,7 +54,8 @@
     replayable_body replay(body, options_.replay_bytes);
     answer_observer observer(writer, clock_);
     buffered_answer answer(observer, options_.max_buffered_answer_bytes);
-    exchange_progress state{.search = target_search(options_.free_slot_hops, options_.max_hops)};
+    exchange_progress state{.received = head,
+                            .search = target_search(options_.free_slot_hops, options_.max_hops)};
     exchange_result result = co_await route_and_attempt(routed, replay, answer, state);
     if (answer.nothing_sent() && (answer.is_complete() || answer.has_fallback())) {
         result = co_await deliver(answer, std::move(result));
@@ -96,6 +97,11 @@
     head.rank = route->rank;
     head.work_class = route->work_class;
     head.inherited_retry_probability = route->inherited_retry;
+    state.route = *route;
+    const refusal unauthenticated = check_account(state, head);
+    if (unauthenticated.error != error_kind::none) {
+        co_return make_refusal_result(unauthenticated);
+    }
     const steady_time arrival = clock_.now();
     const auto timeout = route->timeout.count() > 0 ? route->timeout : options_.default_timeout;
     head.deadline = std::min(head.deadline, arrival + timeout);
@@ -125,6 +131,10 @@
     co_return co_await run_attempts(head, body, answer, state);
 }
 
+refusal ingress::check_account(const exchange_progress& state, request_head& head) const {
+    return hooks_.check_account ? hooks_.check_account(state.received, state.route, head) : refusal{};
+}
+
 // A request that still waits in a queue when its node is killed gets no answer, so a stopping node limits the
 // deadline.
 void ingress::cap_deadline_at_shutdown(request_head& head) const {
@@ -145,6 +155,10 @@
                 ? std::move(*last)
                 : failed_exchange(error_kind::deadline_expired, "the deadline passed at the ingress");
         }
+        const refusal withdrawn = check_account(state, head);
+        if (withdrawn.error != error_kind::none) {
+            co_return combine_results(std::move(last), make_refusal_result(withdrawn));
+        }
         head.may_queue = state.search.may_queue();
         head.last_resort = state.search.is_last_resort();
         const choice_or_refusal<route_choice> chosen = hooks_.choose(head, state.search.excluded());
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -41,6 +41,7 @@
     std::chrono::milliseconds objective{0};  ///< Latency above which the answer is late; 0 for none.
     std::uint32_t rank = 0;                  ///< Requests with a lower rank are admitted first.
     std::uint64_t work_class = 0;            ///< Hash of the route.
+    bool is_public = false;                  ///< Requests need no key of a client account.
     double inherited_retry = 0;  ///< Probability that a retry that runs on this instance caused the request.
 };
 
@@ -84,6 +85,12 @@
     /// when it never stops.
     std::function<std::optional<steady_time>()> answer_deadline = nullptr;
     std::function<std::optional<route_decision>(const request_head&)> find_route;
+    /// Sets account, rank and header fields of a routed request by the key in `received`, which is the
+    /// request as the caller sent it, or returns its refusal. Runs before anything else of the request is
+    /// used, and again before each attempt, because a later configuration may have withdrawn the key. Null
+    /// when requests need no key.
+    std::function<refusal(const request_head& received, const route_decision&, request_head&)> check_account =
+        nullptr;
     /// Returns the refusal of a request, whose deadline is known, that a stopping node can't finish. Null
     /// when the node never stops.
     std::function<refusal(const request_head&)> admit_while_stopping = nullptr;
@@ -122,7 +129,9 @@
 
 private:
     struct exchange_progress {
+        const request_head& received;  ///< The request as the caller sent it.
         target_search search;
+        route_decision route{};
         std::vector<std::string> attempts{};  ///< Description of each attempt.
         std::uint32_t sends = 0;              ///< Attempts that ran, or may have run, at a target.
         std::uint32_t max_sends = 3;
@@ -136,6 +145,7 @@
     awaitable<exchange_result> run_attempt(const route_choice& choice, const request_head& head,
                                            replayable_body& body, buffered_answer& answer,
                                            exchange_progress& state);
+    [[nodiscard]] refusal check_account(const exchange_progress& state, request_head& head) const;
     void cap_deadline_at_shutdown(request_head& head) const;
     awaitable<exchange_result> deliver(buffered_answer& answer, exchange_result result);
     [[nodiscard]] bool may_attempt_again(const request_head& head, const exchange_result& result,
--- a/servers/exchange/http_dialect.h
+++ b/servers/exchange/http_dialect.h
@@ -15,6 +15,8 @@
     std::string timeout_ms_field = "Teaselpitch-Timeout-Ms";
     std::string expected_target_field;  ///< To targets: the identity of the intended target.
     std::string caller_service_field;   ///< To targets: the service at which the request entered the fleet.
+    std::string account_key_field;      ///< From callers: the key of a client account.
+    std::string account_field;          ///< To targets: the name of the caller's client account.
     std::string not_executed_field;     ///< From targets: the request was refused and not executed.
     std::string answer_seal_field;  ///< From targets: a successful answer without it is not from the target.
 
--- a/servers/records/outcome_counters.cpp
+++ b/servers/records/outcome_counters.cpp
@@ -10,6 +10,7 @@
         case error_kind::body_too_large:
         case error_kind::no_route:
         case error_kind::account_limited:
+        case error_kind::unauthenticated:
         case error_kind::key_conflict:
         case error_kind::quarantined:
         case error_kind::cancelled:
