Refuse account keys on a node without contact where a deployment asks for it

Cause: a node that reaches neither the store nor other nodes can't know that a key was withdrawn. A deployment may prefer a refusal to a withdrawn key that is accepted.

Change: with accounts.fail_closed, requests with a key get 503 (not run) after accounts.revoke_ms without contact. Contact is a read that the store has answered, or a datagram of another node while no later version is known to be missing. Reads are shortened to half of revoke_ms on such nodes, because a pending long poll shows no contact. The defaults (off, 5 s) also apply to blank values, so the template in deploy/ stays valid for deployments without these bounds.

Conclusion: nodes of deployments that do not set it behave as before.

--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -138,6 +138,18 @@
     }
 }
 
+// The platform's template leaves the bounds blank that a deployment does not have.
+void read_accounts(settings_section& root, node_settings& out) {
+    settings_section accounts = root.section("accounts");
+    const std::string fail_closed =
+        accounts.choice_or("fail_closed", "false", {"false", "true", "False", "True", ""});
+    out.accounts_fail_closed = fail_closed == "true" || fail_closed == "True";
+    out.accounts_revoke_after = accounts.text_or("revoke_ms", "").empty()
+                                    ? std::chrono::milliseconds(5s)
+                                    : accounts.milliseconds_or("revoke_ms", 5s, long_duration_range_ms);
+    accounts.reject_unknown_keys();
+}
+
 void read_log_level(settings_section& root, node_settings& out) {
     static const std::map<std::string, event_level, std::less<>> levels{{"debug", event_level::debug},
                                                                         {"info", event_level::info},
@@ -162,6 +174,7 @@
     read_limits(root, result.settings);
     read_timeouts(root, result.settings);
     read_claims(root, result.errors, result.settings);
+    read_accounts(root, result.settings);
     read_log_level(root, result.settings);
     root.reject_unknown_keys();
     return result;
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -97,6 +97,11 @@
     /// The platform's store; empty when the table is read from the log.
     std::optional<store_settings> store;
 
+    /// Refuses account keys when this node may not know that one was withdrawn.
+    bool accounts_fail_closed = false;
+    /// Time without contact to the store and other nodes after which accounts_fail_closed applies.
+    std::chrono::milliseconds accounts_revoke_after{};
+
     event_level log_level = event_level::info;
 };
 
--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -128,6 +128,9 @@
 }
 
 void configuration_feed::update_availability(const absl::Status& status) {
+    if (status.ok() && hooks_.on_contact) {
+        hooks_.on_contact();
+    }
     if (std::exchange(store_available_, status.ok()) != status.ok()) {
         hooks_.on_availability(status.ok() ? std::string() : std::string(status.message()));
     }
--- a/modules/node/configuration_feed.h
+++ b/modules/node/configuration_feed.h
@@ -30,6 +30,8 @@
 struct configuration_feed_hooks {
     /// Called with each configuration that replaces the current one.
     std::function<void(const configuration&)> on_configuration;
+    /// Called after each read that the store has answered. May be null.
+    std::function<void()> on_contact = nullptr;
     /// Called with the reason when the store becomes unavailable, and with an empty reason when it is
     /// available again.
     std::function<void(const std::string& reason)> on_availability;
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -70,6 +70,7 @@
               .on_unresponsive_connection = {}}),
       fleet_(io_context.get_executor(), context, peers_,
              {.nodes_changed = [this] { nodes_changed_ = true; },
+              .datagram_received = [this] { on_peer_contact(); },
               .targets_changed = [this](const std::string& service) { changed_services_.insert(service); },
               .local_target_departed =
                   [this](const target_identity& target) { departed_targets_.push_back(target); },
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -100,6 +100,8 @@
     /// Sets, for each guarded target, the number of targets that share the retry budget of its service.
     void update_retry_budgets();
     void on_log_tick();
+    /// Renews the trust in account keys unless another node has a later configuration.
+    void on_peer_contact();
     void create_configuration_feed(const node_platform& platform);
 
     // The other nodes.
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -18,6 +18,17 @@
 // a new version must take effect.
 constexpr std::chrono::milliseconds configuration_timeout{700};
 
+configuration_feed_options feed_options_of(const node_settings& settings, std::uint64_t seed) {
+    configuration_feed_options options;
+    options.seed = seed;
+    if (settings.accounts_fail_closed) {
+        // Only the end of a read shows that the store is reached, so reads end well before keys lose trust.
+        options.max_read_wait = std::min(options.max_read_wait, settings.accounts_revoke_after / 2);
+        options.min_read_wait = std::min(options.min_read_wait, options.max_read_wait);
+    }
+    return options;
+}
+
 }  // namespace
 
 void control_plane::on_table() {
@@ -109,10 +120,10 @@
         control_io_.get_executor(), settings.store->address,
         [this](std::string_view call, unsigned status) { context_.metrics.count_store_call(call, status); });
     feed_ = std::make_unique<configuration_feed>(
-        context_.clock, *store_, platform.source,
-        configuration_feed_options{.seed = context_.self.incarnation},
+        context_.clock, *store_, platform.source, feed_options_of(settings, context_.self.incarnation),
         configuration_feed_hooks{
             .on_configuration = [this](const configuration& next) { on_configuration(next); },
+            .on_contact = [this] { context_.account_keys.on_contact(); },
             .on_availability =
                 [this](const std::string& reason) {
                     context_.metrics.set_log_available(reason.empty());
@@ -131,6 +142,12 @@
                                             });
 }
 
+void control_plane::on_peer_contact() {
+    if (!catch_up_.missing_version()) {
+        context_.account_keys.on_contact();
+    }
+}
+
 void control_plane::on_configuration(const configuration& next) {
     install_table(next.rows, next.accounts, next.version);
     context_.has_configuration = true;
--- a/modules/node/fleet_membership.cpp
+++ b/modules/node/fleet_membership.cpp
@@ -98,6 +98,7 @@
       socket_(executor, context.settings.peer_listen,
               [this](const endpoint& from, std::span<const std::byte> payload) {
                   send(members_.on_datagram(from, payload));
+                  hooks_.datagram_received();
               }) {}
 
 absl::Status fleet_membership::start() {
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -18,6 +18,8 @@
 
 struct fleet_hooks {
     std::function<void()> nodes_changed;
+    /// A datagram of another node was received.
+    std::function<void()> datagram_received;
     std::function<void(const std::string& service)> targets_changed;
     /// Another node knows that a target of this node has departed.
     std::function<void(const target_identity&)> local_target_departed;
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -62,7 +62,9 @@
            .target_crashed = [this](const gate_run& run,
                                     std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings)),
-      accounts(clock, self, [this] { return routing.read(); }) {}
+      accounts(clock, self, [this] { return routing.read(); }),
+      account_keys(clock, {.fail_closed = settings.accounts_fail_closed,
+                           .revoke_after = settings.accounts_revoke_after}) {}
 
 std::optional<drain_schedule> node_context::stop_schedule() const {
     if (!draining) {
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -17,6 +17,7 @@
 #include "modules/node/service_directory.h"
 #include "modules/node/target_manager.h"
 #include "servers/admission/drain_schedule.h"
+#include "servers/admission/key_trust.h"
 #include "servers/exchange/http_dialect.h"
 #include "servers/health/path_fault_detector.h"
 #include "servers/records/decision_log.h"
@@ -59,6 +60,7 @@
     service_directory services;
     target_manager targets;
     account_limits accounts;
+    key_trust account_keys;
     std::atomic<bool> draining{false};
     std::atomic<steady_time> drain_start{steady_time{}};  ///< Valid while draining.
     std::atomic<bool> has_configuration{
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -80,7 +80,14 @@
     // served.
     const auto match = routing->routes().find(head.host, head.path, head.method);
     const bool is_public = match ? match->is_public : route.is_public;
-    const key_check checked = check_key(accounts, context_.dialect, received.headers);
+    key_check checked = check_key(accounts, context_.dialect, received.headers);
+    if (checked.verdict != key_verdict::missing && !context_.account_keys.accepts_keys()) {
+        if (!is_public) {
+            return {error_kind::log_unavailable,
+                    "the node may have missed that a key was withdrawn and accepts none", std::nullopt};
+        }
+        checked.account = nullptr;
+    }
     set_account(context_.dialect, received, checked.account, head);
     const std::uint32_t route_rank = match ? match->priority : route.rank;
     head.rank = checked.account == nullptr ? route_rank : checked.account->rank.value_or(route_rank);
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -19,7 +19,8 @@
 
     // Commands.
     /// Finds the account of a request by its key in the configuration in force. Refuses a request without a
-    /// known key when the configuration has accounts and the route is not public.
+    /// known key when the configuration has accounts and the route is not public, and all keys when the node
+    /// fails closed.
     refusal check_account(const request_head& received, const route_decision& route, request_head& head);
     /// Refuses a request that arrives too late in a planned stop to be finished.
     [[nodiscard]] refusal admit_while_stopping(const request_head& head) const;
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -127,6 +127,37 @@
     BOOST_TEST((loaded.settings.fleet_retries->window == item.window_expected));
 }
 
+struct account_settings_case {
+    std::string text;
+    bool fail_closed;
+    std::chrono::milliseconds revoke_after;
+    std::size_t errors;
+};
+
+std::ostream& operator<<(std::ostream& out, const account_settings_case& value) {
+    return out << value.text;
+}
+
+const std::vector<account_settings_case> account_settings_cases{
+    {"", false, std::chrono::milliseconds(5'000), 0},
+    {"accounts:\n  fail_closed: \"\"\n  revoke_ms: \"\"\n", false, std::chrono::milliseconds(5'000), 0},
+    {"accounts:\n  fail_closed: \"true\"\n  revoke_ms: \"7000\"\n", true, std::chrono::milliseconds(7'000),
+     0},
+    {"accounts:\n  fail_closed: true\n  revoke_ms: 7000\n", true, std::chrono::milliseconds(7'000), 0},
+    {"accounts:\n  fail_closed: \"false\"\n", false, std::chrono::milliseconds(5'000), 0},
+    {"accounts:\n  fail_closed: \"maybe\"\n  revoke_ms: \"x\"\n", false, std::chrono::milliseconds(5'000), 2},
+    {"accounts:\n  revoke_ms: 0\n", false, std::chrono::milliseconds(5'000), 1},
+};
+
+// Guards against a node that does not start where the platform has no value for these bounds.
+BOOST_DATA_TEST_CASE(account_bounds_may_be_blank, boost::unit_test::data::make(account_settings_cases),
+                     item) {
+    const settings_result loaded = parse_node_settings(valid + item.text);
+    BOOST_TEST(loaded.errors.size() == item.errors);
+    BOOST_TEST(loaded.settings.accounts_fail_closed == item.fail_closed);
+    BOOST_TEST((loaded.settings.accounts_revoke_after == item.revoke_after));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace teaselpitch
--- a/tests/modules/node/configuration_feed_test.cpp
+++ b/tests/modules/node/configuration_feed_test.cpp
@@ -162,6 +162,34 @@
     BOOST_TEST(store.calls == row.calls);
 }
 
+// Guards against contact with the store that is reported for a read without an answer, which would keep keys
+// trusted, or that is not reported for an answer without records.
+BOOST_AUTO_TEST_CASE(only_answered_reads_are_contact) {
+    scripted_store store;
+    store.answers = {make_records({make_document("3", 4)}, 5), absl::UnavailableError("away"),
+                     make_records({}, 5), absl::UnavailableError("away")};
+    std::vector<bool> contact;
+    manual_time_source clock;
+    int contacts = 0;
+    configuration_feed feed(clock, store, {.topic = "t", .key = "config", .decode = decode_version}, {},
+                            {.on_configuration = [](const configuration&) {},
+                             .on_contact = [&contacts] { ++contacts; },
+                             .on_availability = [](const std::string&) {}});
+    boost::asio::io_context context;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            while (!store.answers.empty()) {
+                const int before = contacts;
+                (void)co_await feed.read_once();
+                contact.push_back(contacts > before);
+            }
+        },
+        boost::asio::detached);
+    context.run();
+    BOOST_TEST(contact == (std::vector<bool>{true, false, true, false}), boost::test_tools::per_element());
+}
+
 // Guards against a document from another node that replaces the current version by an older or equal one.
 BOOST_AUTO_TEST_CASE(peer_documents_apply_only_when_newer) {
     scripted_store store;
--- a/tests/modules/node/request_account_test.cpp
+++ b/tests/modules/node/request_account_test.cpp
@@ -53,8 +53,10 @@
 
 /// A node whose configuration the test sets.
 struct router_fixture {
+    explicit router_fixture(node_settings settings_in = {}) : settings(std::move(settings_in)) {}
+
     manual_time_source clock;
-    node_settings settings{};
+    node_settings settings;
     http_dialect dialect = make_dialect();
     node_context context{settings, dialect, clock, {"n1", 1}, [](const std::function<void()>&) {}};
     request_router router{context};
@@ -275,6 +277,52 @@
     BOOST_TEST(request_fingerprint(other_key, {}) == head.fingerprint);
 }
 
+struct isolated_case {
+    std::string name;
+    bool fail_closed;
+    std::string path;
+    std::string key;
+    error_kind error;
+    std::string account;
+};
+
+std::ostream& operator<<(std::ostream& out, const isolated_case& value) {
+    return out << value.name;
+}
+
+const std::vector<isolated_case> isolated_cases{
+    {"open node, known key", false, "/private/a", key_of_pulo, error_kind::none, "pulo780"},
+    {"closed node, known key", true, "/private/a", key_of_pulo, error_kind::log_unavailable, ""},
+    {"closed node, unknown key", true, "/private/a", "k-nobody", error_kind::log_unavailable, ""},
+    {"closed node, no key", true, "/private/a", "", error_kind::unauthenticated, ""},
+    {"closed node, public route", true, "/public/a", key_of_pulo, error_kind::none, ""},
+};
+
+// Guards against a node without contact that accepts keys where the deployment forbids it, or that refuses
+// them elsewhere.
+BOOST_DATA_TEST_CASE(nodes_without_contact, boost::unit_test::data::make(isolated_cases), row) {
+    node_settings settings;
+    settings.accounts_fail_closed = row.fail_closed;
+    settings.accounts_revoke_after = 5s;
+    router_fixture node(settings);
+    node.set_configuration(usual_routes(), usual_accounts());
+    node.clock.advance(5s);
+    const request_head received = make_request(row.path, row.key);
+    request_head head = received;
+    const auto route = node.router.find_route(head);
+    BOOST_REQUIRE(route.has_value());
+    const refusal refused = node.router.check_account(received, *route, head);
+    BOOST_TEST(get_error_answer(refused.error).name == get_error_answer(row.error).name);
+    BOOST_TEST(get_error_answer(refused.error).http_status ==
+               (row.error == error_kind::log_unavailable ? 503U : get_error_answer(row.error).http_status));
+    BOOST_TEST(head.account == row.account);
+    node.context.account_keys.on_contact();
+    head = received;
+    const bool has_known_key = row.key == key_of_pulo;
+    BOOST_TEST((node.router.check_account(received, *route, head).error == error_kind::none) ==
+               has_known_key);
+}
+
 // Guards against refusals that operators do not see.
 BOOST_AUTO_TEST_CASE(refusals_are_counted_by_reason) {
     router_fixture node;
