--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -154,7 +154,8 @@
               {{"version", decoded->version},
                {"replaces", version()},
                {"origin", origin},
-               {"routes", decoded->rows->routes().size()}});
+               {"routes", decoded->rows->routes().size()},
+               {"accounts", decoded->accounts->size()}});
     current_ = *std::move(decoded);
     if (reading_ && !overtaken_at_ && origin != store_origin) {
         overtaken_at_ = clock_.now();
@@ -164,6 +165,9 @@
 }
 
 void configuration_feed::update_availability(const absl::Status& status) {
+    if (status.ok() && hooks_.on_contact) {
+        hooks_.on_contact();
+    }
     if (std::exchange(store_available_, status.ok()) != status.ok()) {
         hooks_.on_availability(status.ok() ? std::string() : std::string(status.message()));
     }
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -95,7 +95,8 @@
     /// it.
     void publish_snapshot();
     void on_configuration(const configuration& next);
-    void install_table(std::shared_ptr<const table> rows, std::uint64_t version);
+    void install_table(std::shared_ptr<const table> rows, std::shared_ptr<const account_directory> accounts,
+                       std::uint64_t version);
     /// Fetches the configuration from another node when that is due.
     void fetch_later_configuration();
     awaitable<void> fetch_configuration_from(endpoint peer);
@@ -106,6 +107,8 @@
     /// Sets, for each guarded target, the number of targets that share the retry budget of its service.
     void update_retry_budgets();
     void on_log_tick();
+    /// Renews the trust in account keys unless another node has a later configuration.
+    void on_peer_contact();
     void create_configuration_feed(const node_platform& platform);
 
     // The other nodes.
--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -28,17 +28,32 @@
 constexpr std::chrono::milliseconds registration_poll_interval{20};
 constexpr std::size_t first_configuration_peers = 3;
 
+configuration_feed_options feed_options_of(const node_settings& settings, std::uint64_t seed) {
+    configuration_feed_options options;
+    options.seed = seed;
+    if (settings.accounts_fail_closed) {
+        // Only the end of a read shows that the store is reached, so reads end well before keys lose trust.
+        options.max_read_wait = std::min(options.max_read_wait, settings.accounts_revoke_after / 2);
+        options.min_read_wait = std::min(options.min_read_wait, options.max_read_wait);
+    }
+    return options;
+}
+
 }  // namespace
 
 void control_plane::on_table() {
-    install_table(replica_.current(), replica_.version());
+    install_table(replica_.current(), std::make_shared<const account_directory>(), replica_.version());
 }
 
-void control_plane::install_table(std::shared_ptr<const table> rows, std::uint64_t version) {
-    auto routing = std::make_shared<const routing_table>(rows, context_.settings.availability_zone);
+void control_plane::install_table(std::shared_ptr<const table> rows,
+                                  std::shared_ptr<const account_directory> accounts, std::uint64_t version) {
+    const std::size_t account_count = accounts->size();
+    auto routing =
+        std::make_shared<const routing_table>(rows, context_.settings.availability_zone, std::move(accounts));
     context_.routing.update(routing);
     fleet_.set_table_version(version);
     context_.metrics.set_table_version(version);
+    context_.metrics.set_account_count(account_count);
     std::set<std::string> services;
     rows->services().for_each([&services](const service_row& row) { services.insert(row.service); });
     for (const std::string& service : services) {
@@ -46,7 +61,10 @@
     }
     context_.targets.on_rules();
     log_event(event_level::info, "table_in_force",
-              {{"version", version}, {"services", services.size()}, {"routes", rows->routes().size()}});
+              {{"version", version},
+               {"services", services.size()},
+               {"routes", rows->routes().size()},
+               {"accounts", account_count}});
 }
 
 void control_plane::on_record(const wire::StoredRecord& record, const apply_result& result) {
@@ -112,10 +130,10 @@
         control_io_.get_executor(), settings.store->address,
         [this](std::string_view call, unsigned status) { context_.metrics.count_store_call(call, status); });
     feed_ = std::make_unique<configuration_feed>(
-        context_.clock, *store_, platform.source,
-        configuration_feed_options{.seed = context_.self.incarnation},
+        context_.clock, *store_, platform.source, feed_options_of(settings, context_.self.incarnation),
         configuration_feed_hooks{
             .on_configuration = [this](const configuration& next) { on_configuration(next); },
+            .on_contact = [this] { context_.account_keys.on_contact(); },
             .on_availability =
                 [this](const std::string& reason) {
                     context_.metrics.set_log_available(reason.empty());
@@ -137,8 +155,14 @@
                                             });
 }
 
+void control_plane::on_peer_contact() {
+    if (!catch_up_.missing_version()) {
+        context_.account_keys.on_contact();
+    }
+}
+
 void control_plane::on_configuration(const configuration& next) {
-    install_table(next.rows, next.version);
+    install_table(next.rows, next.accounts, next.version);
     context_.has_configuration = true;
     hooks_.limits_changed(next.limits);
 }
