Move the control calls of the control plane to a file of their own

Change: handle_call() and the functions that send calls to other nodes move to control_calls.cpp. Two timeouts that both files use become private constants of the class. No behavior changes.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -20,18 +20,10 @@
 constexpr std::chrono::milliseconds second_interval{1'000};
 // Short compared with the retention of the log, and adds only 1,440 records a day for the whole fleet.
 constexpr std::chrono::milliseconds snapshot_interval{60'000};
-constexpr std::chrono::milliseconds call_timeout{1'000};
-constexpr std::chrono::milliseconds hand_over_timeout{5'000};
 // When the latest complete read of the log is older than this, slot holders request promises from their
 // candidates.
 constexpr std::chrono::milliseconds max_fresh_log_age{2'500};
 
-constexpr std::string_view digest_method = "digest";
-constexpr std::string_view verdict_method = "verdict";
-constexpr std::string_view limit_method = "limit";
-constexpr std::string_view promise_method = "promise";
-constexpr std::string_view hand_over_method = "hand_over";
-
 slot_settings slot_settings_of(const node_settings& settings) {
     return {.lease = settings.claim_lease,
             .margin = settings.claim_margin,
@@ -283,44 +275,6 @@
     }
 }
 
-awaitable<absl::StatusOr<std::string>> control_plane::handle_call(std::string method, std::string payload) {
-    if (method == fleet_membership::groups_method || method == fleet_membership::facts_method) {
-        co_return fleet_.answer_sync(method, payload);
-    }
-    if (method == digest_method) {
-        co_return health_.handle_digest(payload);
-    }
-    if (method == table_method) {
-        co_return answer_table(payload);
-    }
-    if (method == verdict_method) {
-        wire::VerdictFact fact;
-        if (fact.ParseFromString(payload)) {
-            apply_verdict(fact);
-            co_return std::string();
-        }
-    } else if (method == limit_method) {
-        wire::LimitReport report;
-        if (report.ParseFromString(payload)) {
-            co_return context_.accounts.on_report(report).SerializeAsString();
-        }
-    } else if (method == promise_method) {
-        wire::PromiseRequest request;
-        if (request.ParseFromString(payload)) {
-            co_return claims_.on_promise_request(request).SerializeAsString();
-        }
-    } else if (method == hand_over_method) {
-        wire::HandOver message;
-        if (message.ParseFromString(payload)) {
-            const absl::Status accepted = claims_.on_hand_over(message);
-            co_return accepted.ok() ? absl::StatusOr<std::string>(std::string()) : accepted;
-        }
-    } else {
-        co_return absl::UnimplementedError("unknown control method \"" + method + "\"");
-    }
-    co_return absl::InvalidArgumentError("the payload of \"" + method + "\" is malformed");
-}
-
 void control_plane::spawn(awaitable<void> task, std::string_view name) {
     boost::asio::co_spawn(control_io_, std::move(task), [name](std::exception_ptr failure) {
         if (!failure) {
@@ -448,68 +402,6 @@
     }
 }
 
-awaitable<void> control_plane::send_digest(outgoing_digest message) {
-    std::string payload = message.digest.SerializeAsString();
-    const auto answer = co_await peers_.call(message.peer, digest_method, std::move(payload), call_timeout);
-    wire::ServiceDigest digest;
-    if (answer.ok() && digest.ParseFromString(*answer)) {
-        health_.apply_digest(digest);
-    }
-}
-
-awaitable<void> control_plane::send_limit_report(outgoing_limit_report message) {
-    const std::optional<endpoint> peer = peer_of(message.home);
-    if (!peer) {
-        co_return;
-    }
-    std::string payload = message.report.SerializeAsString();
-    const auto answer = co_await peers_.call(*peer, limit_method, std::move(payload), call_timeout);
-    wire::LimitGrant grant;
-    if (answer.ok() && grant.ParseFromString(*answer)) {
-        context_.accounts.on_grant(grant);
-    }
-}
-
-awaitable<void> control_plane::send_verdict(endpoint peer, std::string payload) {
-    // A lost verdict needs no retry, because it also arrives by gossip and with answers.
-    (void)co_await peers_.call(peer, verdict_method, std::move(payload), call_timeout);
-}
-
-awaitable<void> control_plane::send_promise_request(wire::PromiseRequest request) {
-    const std::optional<endpoint> peer = peer_of(request.candidate().name());
-    if (!peer) {
-        co_return;
-    }
-    std::string payload = request.SerializeAsString();
-    const auto answer = co_await peers_.call(*peer, promise_method, std::move(payload), call_timeout);
-    wire::PromiseReply reply;
-    if (answer.ok() && reply.ParseFromString(*answer)) {
-        claims_.on_promise_reply(reply);
-    }
-}
-
-awaitable<void> control_plane::send_hand_over(node_identity successor, wire::HandOver message) {
-    const std::optional<endpoint> peer = peer_of(successor.name);
-    if (!peer) {
-        co_return;
-    }
-    std::string payload = message.SerializeAsString();
-    const auto answer = co_await peers_.call(*peer, hand_over_method, std::move(payload), hand_over_timeout);
-    log_event(answer.ok() ? event_level::info : event_level::warning, "hand_over",
-              {{"service", message.claims().service()},
-               {"slot", message.claims().slot()},
-               {"successor", successor.name},
-               {"claims", message.claims().claims_size()},
-               {"taken", answer.ok()},
-               {"reason", answer.ok() ? "" : std::string(answer.status().message())}});
-}
-
-std::optional<endpoint> control_plane::peer_of(const std::string& node) const {
-    const auto nodes = context_.nodes.read();
-    const auto found = nodes->find(node);
-    return found == nodes->end() ? std::nullopt : std::optional<endpoint>(found->second.peer);
-}
-
 claim_manager_hooks control_plane::make_claim_hooks() {
     claim_manager_hooks hooks;
     hooks.choose_target = [this](std::string_view service) -> std::optional<target_identity> {
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -73,6 +73,8 @@
 
 private:
     static constexpr std::string_view table_method = "table";
+    static constexpr std::chrono::milliseconds call_timeout{1'000};
+    static constexpr std::chrono::milliseconds hand_over_timeout{5'000};
 
     void spawn(awaitable<void> task, std::string_view name);
     awaitable<void> run_periodically(std::chrono::milliseconds period, std::function<void()> work);
