Check the quota of a request's account before its first attempt

Cause: quotas need an answer of another node, which the synchronous admit hook can't wait for, and a refusal that says that the quota could not be checked.

Change: the ingress takes a token by the awaitable hook admit_account, only for accounts with a limited quota, and returns it when no target ran the request. The new error kind quota_unavailable (503, not run) is used when the home of an account can't be reached: no kind for a full or unready node describes that.

Conclusion: without the hooks, requests are handled as before.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 30> answers{{
+constexpr std::array<error_answer, 31> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
@@ -26,6 +26,8 @@
      "The service has no target that can accept requests."},
     {error_kind::account_limited, "account_limited", 429, not_run, retry_advice::later, 1s,
      "The account is over its request rate."},
+    {error_kind::quota_unavailable, "quota_unavailable", 503, not_run, retry_advice::later, 1s,
+     "The account's quota can't be checked at the moment."},
     {error_kind::overloaded, "overloaded", 503, not_run, retry_advice::later, 1s,
      "The service has no free slot within the deadline."},
     {error_kind::deadline_expired, "deadline_expired", 504, not_run, retry_advice::never, 0s,
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -24,6 +24,7 @@
     no_route,
     no_target,
     account_limited,
+    quota_unavailable,
     overloaded,
     deadline_expired,
     target_leaving,
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -122,7 +122,25 @@
     if (refused.error != error_kind::none) {
         co_return make_refusal_result(refused);
     }
-    co_return co_await run_attempts(head, body, answer, state);
+    co_return co_await run_within_quota(head, body, answer, state);
+}
+
+awaitable<exchange_result> ingress::run_within_quota(request_head& head, replayable_body& body,
+                                                     buffered_answer& answer, exchange_progress& state) {
+    const account_quota quota =
+        hooks_.quota_of && !head.account.empty() ? hooks_.quota_of(head) : account_quota{};
+    if (!quota.is_limited()) {
+        co_return co_await run_attempts(head, body, answer, state);
+    }
+    const quota_admission admission = co_await hooks_.admit_account(head, quota);
+    if (admission.refused.error != error_kind::none) {
+        co_return make_refusal_result(admission.refused);
+    }
+    exchange_result result = co_await run_attempts(head, body, answer, state);
+    if (state.sends == 0) {
+        hooks_.return_token(head, admission.token_expires_at);
+    }
+    co_return result;
 }
 
 // A request that still waits in a queue when its node is killed gets no answer, so a stopping node limits the
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -14,6 +14,7 @@
 #include "core/clock.h"
 #include "modules/proxy/buffered_answer.h"
 #include "modules/proxy/replayable_body.h"
+#include "servers/admission/account_quota.h"
 #include "servers/exchange/exchange.h"
 #include "servers/routing/target_search.h"
 
@@ -57,6 +58,12 @@
     refusal refused;
 };
 
+/// Result of the check of an account's quota.
+struct quota_admission {
+    refusal refused;
+    steady_time token_expires_at{};  ///< Of the token that the request holds; passed to return_token().
+};
+
 /// Result of one attempt.
 struct attempt_report {
     const request_head& head;
@@ -88,6 +95,13 @@
     /// when the node never stops.
     std::function<refusal(const request_head&)> admit_while_stopping = nullptr;
     std::function<refusal(const request_head&)> admit;  ///< Checks account limits and the quarantine.
+    /// Returns the quota of the request's account. Null when accounts have no quotas.
+    std::function<account_quota(const request_head&)> quota_of = nullptr;
+    /// Takes a token of the account's quota; called only when the quota is limited.
+    std::function<awaitable<quota_admission>(const request_head&, const account_quota&)> admit_account =
+        nullptr;
+    /// Returns the token of a request that no target ran.
+    std::function<void(const request_head&, steady_time token_expires_at)> return_token = nullptr;
     std::function<choice_or_refusal<route_choice>(const request_head&, std::span<const std::string> tried)>
         choose;
     std::function<awaitable<exchange_result>(const route_choice&, const request_head&, body_reader&,
@@ -131,6 +145,8 @@
 
     awaitable<exchange_result> route_and_attempt(request_head& head, replayable_body& body,
                                                  buffered_answer& answer, exchange_progress& state);
+    awaitable<exchange_result> run_within_quota(request_head& head, replayable_body& body,
+                                                buffered_answer& answer, exchange_progress& state);
     awaitable<exchange_result> run_attempts(request_head& head, replayable_body& body,
                                             buffered_answer& answer, exchange_progress& state);
     awaitable<exchange_result> run_attempt(const route_choice& choice, const request_head& head,
--- a/tests/modules/proxy/ingress_test.cpp
+++ b/tests/modules/proxy/ingress_test.cpp
@@ -147,6 +147,39 @@
      3},
 };
 
+/// What becomes of the token of a request's account.
+struct quota_case {
+    std::string name;
+    account_quota quota;
+    error_kind refused;  ///< Result of the quota check.
+    std::vector<error_kind> script;
+    error_kind expected;
+    std::size_t checks;
+    std::size_t returned;
+};
+
+std::ostream& operator<<(std::ostream& out, const quota_case& value) {
+    return out << value.name;
+}
+
+constexpr account_quota limited{86, 86};
+constexpr error_kind none = error_kind::none;
+
+const std::vector<quota_case> quota_cases{
+    {"no quota", {}, none, {}, none, 0, 0},
+    {"run", limited, none, {}, none, 1, 0},
+    {"run after a refusal by a gate", limited, none, {error_kind::overloaded}, none, 1, 0},
+    {"refused by all gates",
+     limited,
+     none,
+     {error_kind::overloaded, error_kind::overloaded, error_kind::overloaded},
+     error_kind::overloaded,
+     1,
+     1},
+    {"unknown outcome", limited, none, {error_kind::outcome_unknown}, error_kind::outcome_unknown, 1, 0},
+    {"over the quota", limited, error_kind::account_limited, {}, error_kind::account_limited, 1, 0},
+};
+
 /// Attempts that are marked as retries: those after an attempt that reached a target.
 struct retry_marking_case {
     std::string name;
@@ -197,6 +230,35 @@
     BOOST_TEST(marked == row.marked, boost::test_tools::per_element());
 }
 
+// Guards against requests that pass without a token, and against tokens that are lost or returned although a
+// target may have run the request.
+BOOST_DATA_TEST_CASE(tokens_of_requests_that_did_not_run_are_returned,
+                     boost::unit_test::data::make(quota_cases), row) {
+    scripted_fleet fleet;
+    fleet.script = row.script;
+    ingress_hooks hooks = fleet.hooks();
+    std::size_t checks = 0;
+    std::size_t returned = 0;
+    hooks.quota_of = [&](const request_head&) { return row.quota; };
+    hooks.admit_account = [&](const request_head&, const account_quota&) -> awaitable<quota_admission> {
+        ++checks;
+        co_return quota_admission{{row.refused, "", 250ms}, steady_time{7s}};
+    };
+    hooks.return_token = [&](const request_head&, steady_time expires_at) {
+        returned += expires_at == steady_time{7s} ? 1 : 0;
+    };
+    ingress entry(fleet.clock, {}, hooks);
+    request_head head = caller_request(fleet.clock);
+    head.account = "pulo780";
+    chunked_text_body body("x");
+    recording_writer answer;
+    const exchange_result result = run_until_complete(entry.exchange(head, body, answer));
+    BOOST_TEST((result.error == row.expected));
+    BOOST_TEST(checks == row.checks);
+    BOOST_TEST(returned == row.returned);
+    BOOST_TEST(fleet.targets.empty() == (row.refused != error_kind::none));
+}
+
 // Guards against a request that still waits in a queue when its stopping node is killed, and so gets no
 // answer.
 BOOST_DATA_TEST_CASE(stopping_node_limits_the_deadline, boost::unit_test::data::make(stop_cases), row) {
