Enforce account quotas on the node: quota service, calls and metrics

Cause: the quota classes had no users.

Change: quota_service takes tokens on the shards and lets the requests of an account that wait share one call to its home, sent by the control thread with a time-out of 300 ms. The home's bank lives on the control thread; when the node is the home itself, no message passes. A cancelled request or one whose deadline passes leaves the list, and a token that was already assigned to it goes back. Metrics count decisions and calls by reason; the first refusal of an account in a second is logged. node_context looks quotas up with a function that returns an unlimited one until the account directory is connected (marked TO CONNECT), so nothing changes for callers yet.

Conclusion: whole except for the connection to the account directory.

--- a/modules/node/control_calls.cpp
+++ b/modules/node/control_calls.cpp
@@ -11,9 +11,13 @@
 constexpr std::string_view digest_method = "digest";
 constexpr std::string_view verdict_method = "verdict";
 constexpr std::string_view limit_method = "limit";
+constexpr std::string_view quota_method = "quota";
 constexpr std::string_view promise_method = "promise";
 constexpr std::string_view hand_over_method = "hand_over";
 
+// A request waits for this call, so an unreachable home must be noticed soon.
+constexpr std::chrono::milliseconds quota_timeout{300};
+
 }  // namespace
 
 awaitable<absl::StatusOr<std::string>> control_plane::handle_call(std::string method, std::string payload) {
@@ -37,6 +41,11 @@
         if (report.ParseFromString(payload)) {
             co_return context_.accounts.on_report(report).SerializeAsString();
         }
+    } else if (method == quota_method) {
+        wire::QuotaRequest request;
+        if (request.ParseFromString(payload)) {
+            co_return context_.quotas.on_request(request).SerializeAsString();
+        }
     } else if (method == promise_method) {
         wire::PromiseRequest request;
         if (request.ParseFromString(payload)) {
@@ -76,6 +85,23 @@
     }
 }
 
+awaitable<void> control_plane::send_quota_request(outgoing_quota_request message) {
+    const std::optional<endpoint> peer = peer_of(message.home);
+    std::optional<wire::QuotaGrant> grant;
+    if (peer) {
+        std::string payload = message.request.SerializeAsString();
+        const auto answer = co_await peers_.call(*peer, quota_method, std::move(payload), quota_timeout);
+        wire::QuotaGrant parsed;
+        if (answer.ok() && parsed.ParseFromString(*answer)) {
+            grant = parsed;
+        }
+    }
+    // Nobody waits for the answer to a message that only returns tokens.
+    if (message.request.wanted() > 0) {
+        context_.quotas.on_answer(message, grant);
+    }
+}
+
 awaitable<void> control_plane::send_verdict(endpoint peer, std::string payload) {
     // A lost verdict needs no retry, because it also arrives by gossip and with answers.
     (void)co_await peers_.call(peer, verdict_method, std::move(payload), call_timeout);
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -88,6 +88,8 @@
               context.self, make_claim_hooks()),
       hooks_(std::move(shard_callbacks)),
       catch_up_(context.clock, std::mt19937_64(context.self.incarnation), {}) {
+    context.quotas.set_sender(
+        [this](outgoing_quota_request message) { spawn(send_quota_request(std::move(message)), "quota"); });
     if (context.settings.store) {
         create_configuration_feed(platform);
     }
@@ -128,6 +130,7 @@
     spawn(run_periodically(ejector_interval * factor,
                            [this] {
                                context_.services.on_tick();
+                               context_.quotas.on_tick();
                                for (outgoing_limit_report& message : context_.accounts.on_tick()) {
                                    spawn(send_limit_report(std::move(message)), "limit");
                                }
@@ -321,6 +324,7 @@
         names.push_back(name);
     }
     // Nodes that left gracefully are not counted as partitioned.
+    context_.quotas.on_members({names, fleet_.confirmed_node_count(), fleet_.possible_node_count()});
     context_.accounts.on_nodes(std::move(names), fleet_.possible_node_count());
     context_.metrics.set_known_counts(directory.size(), fleet_.target_count());
     context_.nodes.update(std::make_shared<const node_directory>(std::move(directory)));
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -116,6 +116,7 @@
     void apply_verdict(const wire::VerdictFact& fact);
     awaitable<void> send_digest(outgoing_digest message);
     awaitable<void> send_limit_report(outgoing_limit_report message);
+    awaitable<void> send_quota_request(outgoing_quota_request message);
     awaitable<void> send_verdict(endpoint peer, std::string payload);
     awaitable<void> send_promise_request(wire::PromiseRequest request);
     awaitable<void> send_hand_over(node_identity successor, wire::HandOver message);
--- a/modules/node/fleet_membership.cpp
+++ b/modules/node/fleet_membership.cpp
@@ -173,6 +173,12 @@
         known.begin(), known.end(), [](const member& value) { return value.state != node_state::left; }));
 }
 
+std::size_t fleet_membership::confirmed_node_count() const {
+    const std::vector<member> known = members();
+    return static_cast<std::size_t>(std::count_if(
+        known.begin(), known.end(), [](const member& value) { return value.state == node_state::alive; }));
+}
+
 std::vector<registered_target> fleet_membership::targets_of(const std::string& service) const {
     std::vector<registered_target> result;
     targets_.for_each(service, [this, &result](const target_view& view) {
--- a/modules/node/fleet_membership.h
+++ b/modules/node/fleet_membership.h
@@ -60,6 +60,8 @@
     /// Returns the number of nodes that run or may be partitioned, including this one. Nodes that left
     /// gracefully are not counted.
     [[nodiscard]] std::size_t possible_node_count() const;
+    /// Returns the number of alive nodes that are not suspected, including this one.
+    [[nodiscard]] std::size_t confirmed_node_count() const;
     [[nodiscard]] std::size_t target_count() const { return targets_.size(); }
 
     static constexpr std::string_view groups_method = "sync_groups";
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -62,7 +62,13 @@
            .target_crashed = [this](const gate_run& run,
                                     std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings)),
-      accounts(clock, self, [this] { return routing.read(); }) {}
+      accounts(clock, self, [this] { return routing.read(); }),
+      // TO CONNECT: return the quota of routing.read()'s account directory. Until then, no account is
+      // limited.
+      quotas(clock, self, metrics,
+             {.quota_of = [](std::string_view) { return account_quota{}; },
+              .version = [this] { return routing.read()->rows().version(); },
+              .post_to_control_thread = post_to_control_thread}) {}
 
 std::optional<drain_schedule> node_context::stop_schedule() const {
     if (!draining) {
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -13,6 +13,7 @@
 #include "drivers/settings/node_settings.h"
 #include "modules/node/account_limits.h"
 #include "modules/node/node_metrics.h"
+#include "modules/node/quota_service.h"
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
 #include "modules/node/target_manager.h"
@@ -59,6 +60,7 @@
     service_directory services;
     target_manager targets;
     account_limits accounts;
+    quota_service quotas;
     std::atomic<bool> draining{false};
     std::atomic<steady_time> drain_start{steady_time{}};  ///< Valid while draining.
     std::atomic<bool> has_configuration{
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -47,6 +47,10 @@
           register_histograms(registry_, "teaselpitch_target_seconds", "Time until the target's head")),
       store_calls_(
           register_counters(registry_, "teaselpitch_store_calls_total", "Calls to the platform's store")),
+      quota_decisions_(register_counters(registry_, "teaselpitch_quota_requests_total",
+                                         "Requests of accounts with a quota by decision")),
+      quota_asks_(register_counters(registry_, "teaselpitch_quota_asks_total",
+                                    "Calls for tokens of a quota by result")),
       silent_connections_(register_counters(registry_, "teaselpitch_silent_connections_total",
                                             "Peer connections replaced because they went silent")
                               .Add({})),
@@ -82,6 +86,14 @@
     store_calls_.Add({{"call", std::string(call)}, {"status", std::to_string(status)}}).Increment();
 }
 
+void node_metrics::count_quota(std::string_view result, std::string_view reason) {
+    quota_decisions_.Add({{"result", std::string(result)}, {"reason", std::string(reason)}}).Increment();
+}
+
+void node_metrics::count_quota_ask(std::string_view result) {
+    quota_asks_.Add({{"result", std::string(result)}}).Increment();
+}
+
 void node_metrics::count_silent_connection() {
     silent_connections_.Increment();
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -26,6 +26,10 @@
     void count_gate_refusal(std::string_view service, error_kind error);
     void count_gate_run(std::string_view service, std::chrono::nanoseconds latency);
     void count_silent_connection();
+    /// Counts a decision about a request of an account with a quota. `reason` is empty when it was admitted.
+    void count_quota(std::string_view result, std::string_view reason);
+    /// Counts a call for tokens, by its result.
+    void count_quota_ask(std::string_view result);
     void set_table_version(std::uint64_t version);
     void set_known_counts(std::size_t nodes, std::size_t targets);
     void count_store_call(std::string_view call, unsigned status);
@@ -44,6 +48,8 @@
     prometheus::Family<prometheus::Counter>& gate_refusals_;
     prometheus::Family<prometheus::Histogram>& target_seconds_;
     prometheus::Family<prometheus::Counter>& store_calls_;
+    prometheus::Family<prometheus::Counter>& quota_decisions_;
+    prometheus::Family<prometheus::Counter>& quota_asks_;
     prometheus::Counter& silent_connections_;
     prometheus::Gauge& table_version_;
     prometheus::Gauge& known_nodes_;
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -145,6 +145,13 @@
     };
     hooks.find_route = [this](const request_head& head) { return router_.find_route(head); };
     hooks.admit = [this](const request_head& head) { return router_.admit(head); };
+    hooks.quota_of = [this](const request_head& head) { return context_.quotas.quota_of(head.account); };
+    hooks.admit_account = [this](const request_head& head, const account_quota& quota) {
+        return context_.quotas.admit(head.account, quota, head.deadline);
+    };
+    hooks.return_token = [this](const request_head& head, steady_time token_expires_at) {
+        context_.quotas.return_token(head.account, token_expires_at);
+    };
     hooks.choose = [this](const request_head& head, std::span<const std::string> tried) {
         if (hooks_.choose_holder && head.non_idempotent && !head.idempotency_key.empty()) {
             return hooks_.choose_holder(head);
