--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -64,7 +64,16 @@
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings)),
       accounts(clock, self, [this] { return routing.read(); }),
       account_keys(clock, {.fail_closed = settings.accounts_fail_closed,
-                           .revoke_after = settings.accounts_revoke_after}) {}
+                           .revoke_after = settings.accounts_revoke_after}),
+      quotas(clock, self, metrics,
+             {.quota_of =
+                  [this](std::string_view account) {
+                      const auto table = routing.read();
+                      const client_account* found = table->accounts().find(account);
+                      return found == nullptr ? account_quota{} : found->quota;
+                  },
+              .version = [this] { return routing.read()->rows().version(); },
+              .post_to_control_thread = post_to_control_thread}) {}
 
 std::optional<drain_schedule> node_context::stop_schedule() const {
     if (!draining) {
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -29,6 +29,10 @@
     /// Counts a request that was refused because of its key; `reason` is missing, unknown or several.
     void count_unauthenticated(std::string_view reason);
     void set_account_count(std::size_t accounts);
+    /// Counts a decision about a request of an account with a quota. `reason` is empty when it was admitted.
+    void count_quota(std::string_view result, std::string_view reason);
+    /// Counts a call for tokens, by its result.
+    void count_quota_ask(std::string_view result);
     void set_table_version(std::uint64_t version);
     void set_known_counts(std::size_t nodes, std::size_t targets);
     void count_store_call(std::string_view call, unsigned status);
@@ -48,6 +52,8 @@
     prometheus::Family<prometheus::Histogram>& target_seconds_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& unauthenticated_requests_;
+    prometheus::Family<prometheus::Counter>& quota_decisions_;
+    prometheus::Family<prometheus::Counter>& quota_asks_;
     prometheus::Counter& silent_connections_;
     prometheus::Gauge& accounts_;
     prometheus::Gauge& table_version_;
