Move target connections to their own files

Change: target_connection and target_connection_pool move to drivers/http/target_connection; no other line changes.

Conclusion: no change of behavior.

--- a/drivers/http/target_exchange.cpp
+++ b/drivers/http/target_exchange.cpp
@@ -1,7 +1,5 @@
 #include "drivers/http/target_exchange.h"
 
-#include <poll.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -33,14 +31,6 @@
 
 }  // namespace
 
-target_connection::target_connection(const net::any_io_executor& executor)
-    : socket(executor), buffer(max_unparsed_bytes) {}
-
-bool target_connection::is_reusable() {
-    pollfd entry{socket.native_handle(), POLLIN | POLLRDHUP, 0};
-    return buffer.size() == 0 && ::poll(&entry, 1, 0) == 0;
-}
-
 target_exchange::target_exchange(target_connection_pool& connections, const time_source& clock,
                                  const target_client_options& options,
                                  std::function<bool()> before_first_byte)
--- a/drivers/http/target_exchange.h
+++ b/drivers/http/target_exchange.h
@@ -12,42 +12,11 @@
 #include "drivers/http/asio_types.h"
 #include "drivers/http/io_deadline.h"
 #include "drivers/http/target_client.h"
+#include "drivers/http/target_connection.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
 
-/// One TCP connection to a target, with its read buffer.
-struct target_connection {
-    explicit target_connection(const net::any_io_executor& executor);
-
-    /// True when no bytes have arrived and the target has not closed the connection; otherwise it must not be
-    /// reused.
-    [[nodiscard]] bool is_reusable();
-
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-    steady_time idle_since;
-    /// How long the connection may stay idle according to the target's Keep-Alive field; max() without one.
-    std::chrono::milliseconds target_idle_timeout = std::chrono::milliseconds::max();
-};
-
-/// Pool of idle connections that exchanges take connections from and return them to.
-class target_connection_pool {
-public:
-    virtual ~target_connection_pool() = default;
-    virtual net::any_io_executor executor() = 0;
-    virtual const endpoint& target() = 0;
-    /// Removes and returns a reusable connection that has been idle for at most this time; null when there is
-    /// none.
-    virtual std::unique_ptr<target_connection> acquire_idle(std::chrono::milliseconds max_idle_time) = 0;
-    virtual void put_idle(std::unique_ptr<target_connection> connection) = 0;
-
-protected:
-    target_connection_pool() = default;
-    target_connection_pool(const target_connection_pool&) = default;
-    target_connection_pool& operator=(const target_connection_pool&) = default;
-};
-
 /// One request to a target and its answer. The connection is reused only after a complete exchange without
 /// errors.
 class target_exchange {
