Reject malformed answers at once and broken ones without a length

Cause: a target that answered a long upload at once without a length and reset the connection in the body got its part forwarded as a whole answer. The kernel reports the error of a socket once; a write of the upload consumed it, send_piece ignored it, and the next read saw a clean end, which completes an answer without a length. Statuses below 100 were taken for interim answers and held until the deadline (504). The Beast parser accepts equal repeated lengths, lists of codings, folded fields and control bytes at places.

Change: the end of the connection completes an answer without a length only if no write failed, the whole request was written, the target acknowledged all of it, and TCP_INFO shows an orderly close (CLOSE_WAIT), which no call consumes. answer_head_checker checks the raw head of each answer as it arrives, for targets and for calls to targets and the store (http_client): status, field names and values, line ends, lengths and codings. A malformed head counts as outcome unknown (502, it may have run). Fields of trailers are checked before the end. caller_writer refuses a malformed head. http_client skips up to 16 interim replies.

Conclusion: a truncated or malformed answer never looks complete. An early answer without a length to an upload that the target has not read ends as answer_broken (502), also when its connection is closed in order.

--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "drivers/http/header_rules.h"
+#include "servers/exchange/field_syntax.h"
 
 namespace teaselpitch {
 namespace {
@@ -94,6 +95,10 @@
         co_return absl::FailedPreconditionError("the head has already been written");
     }
     started_ = true;
+    if (const auto error = find_response_error(head)) {
+        abort();
+        co_return absl::InvalidArgumentError(*error);
+    }
     if (settings_.wait_for_earlier_answers) {
         // Whether this is the last answer of the connection is known only after the earlier answers.
         co_await settings_.wait_for_earlier_answers();
--- a/drivers/http/header_rules.cpp
+++ b/drivers/http/header_rules.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <cstdint>
 
 #include "absl/status/status.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
+#include "servers/exchange/field_syntax.h"
 
 namespace teaselpitch {
 namespace {
@@ -44,16 +44,6 @@
     return std::isxdigit(static_cast<unsigned char>(c)) != 0;
 }
 
-/// Parses a decimal number that consists of digits only; empty for signs, spaces and overflow.
-std::optional<std::uint64_t> parse_digits(std::string_view text) {
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 bool is_valid_path(std::string_view path) {
     if (path.empty() || path.front() != '/') {
         return false;
@@ -147,7 +137,7 @@
         return absl::InvalidArgumentError("both a Content-Length and a Transfer-Encoding field");
     }
     if (lengths == 1) {
-        head.content_length = parse_digits(to_std_view(header[http::field::content_length]));
+        head.content_length = parse_decimal(to_std_view(header[http::field::content_length]));
         if (!head.content_length.has_value()) {
             return absl::InvalidArgumentError("the Content-Length field is not a number");
         }
@@ -177,7 +167,7 @@
     std::chrono::milliseconds timeout = max_timeout;
     if (header.count(to_beast_view(dialect.timeout_ms_field)) == 1) {
         const std::optional<std::uint64_t> requested_ms =
-            parse_digits(to_std_view(header[to_beast_view(dialect.timeout_ms_field)]));
+            parse_decimal(to_std_view(header[to_beast_view(dialect.timeout_ms_field)]));
         if (!requested_ms.has_value()) {
             return absl::InvalidArgumentError(dialect.timeout_ms_field + " is not a number of milliseconds");
         }
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -4,13 +4,21 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
 #include <utility>
 
+#include "drivers/http/answer_head.h"
 #include "drivers/http/asio_types.h"
 
 namespace teaselpitch {
 namespace {
 
+/// Maximum size of a reply's header.
+constexpr std::uint32_t max_reply_header_bytes = 8 * 1024;
+constexpr unsigned lowest_final_status = 200;
+
 absl::Status make_error_status(error_code error, const endpoint& target, const char* operation) {
     const std::string text = std::string(operation) + " " + to_string(target) + ": " + error.message();
     if (error == beast::error::timeout) {
@@ -25,6 +33,10 @@
     return absl::UnavailableError(text);
 }
 
+absl::Status make_malformed_status(const endpoint& target, std::string_view reason) {
+    return absl::DataLossError("malformed reply from " + to_string(target) + ": " + std::string(reason));
+}
+
 http::request<http::string_body> make_message(http_request request, const endpoint& target) {
     http::request<http::string_body> message;
     message.method_string(request.method);
@@ -71,20 +83,39 @@
     if (request.keep_alive_probes) {
         enable_keep_alive_probes(stream.socket());
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(request.max_reply_bytes);
-    parser.skip(request.method == "HEAD");
+    const std::size_t max_reply_bytes = request.max_reply_bytes;
+    const bool head_only = request.method == "HEAD";
     const http::request<http::string_body> message = make_message(std::move(request), target);
     auto [write_error, written] = co_await http::async_write(stream, message, tuple_awaitable);
     if (write_error) {
         co_return make_error_status(write_error, target, "cannot send the request to");
     }
     beast::flat_buffer buffer(max_unparsed_bytes);
-    auto [read_error, read] = co_await http::async_read(stream, buffer, parser, tuple_awaitable);
-    if (read_error) {
-        co_return make_error_status(read_error, target, "cannot read the reply from");
+    for (int interim = 0; interim <= max_interim_answers; ++interim) {
+        const answer_head_failure failure = co_await read_answer_head(stream, buffer, max_reply_header_bytes);
+        if (failure.error) {
+            co_return make_error_status(failure.error, target, "cannot read the reply from");
+        }
+        if (!failure.malformed.empty()) {
+            co_return make_malformed_status(target, failure.malformed);
+        }
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(max_reply_header_bytes);
+        parser.body_limit(max_reply_bytes);
+        parser.skip(head_only);
+        auto [read_error, read] = co_await http::async_read(stream, buffer, parser, tuple_awaitable);
+        if (read_error) {
+            co_return make_error_status(read_error, target, "cannot read the reply from");
+        }
+        const unsigned status = parser.get().result_int();
+        if (status >= lowest_final_status) {
+            co_return make_reply(parser.release());
+        }
+        if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+            break;  // The request did not ask for an upgrade.
+        }
     }
-    co_return make_reply(parser.release());
+    co_return make_malformed_status(target, "a status 101 or too many interim answers");
 }
 
 absl::StatusOr<http_reply> send_http_request_blocking(const endpoint& target, http_request request,
--- a/drivers/http/http_client.h
+++ b/drivers/http/http_client.h
@@ -36,7 +36,8 @@
 };
 
 /// Sends one request on a new connection and reads the whole reply. Fails with Unavailable when the
-/// connection fails, DeadlineExceeded after the timeout, and DataLoss when the reply is incomplete.
+/// connection fails, DeadlineExceeded after the timeout, and DataLoss when the reply is incomplete or
+/// malformed.
 awaitable<absl::StatusOr<http_reply>> send_http_request(boost::asio::any_io_executor executor,
                                                         endpoint target, http_request request,
                                                         std::chrono::milliseconds timeout);
--- a/drivers/http/target_connection.h
+++ b/drivers/http/target_connection.h
@@ -17,6 +17,10 @@
     /// reused.
     [[nodiscard]] bool is_reusable();
 
+    /// True when the target has closed its side in order and received all bytes that were written to it.
+    /// After a reset it is false, even if another call has consumed the error of the socket.
+    [[nodiscard]] bool ended_in_order();
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     steady_time idle_since;
--- a/drivers/http/target_exchange.cpp
+++ b/drivers/http/target_exchange.cpp
@@ -13,15 +13,15 @@
 #include <utility>
 #include <vector>
 
+#include "drivers/http/answer_head.h"
 #include "drivers/http/header_rules.h"
 #include "drivers/http/target_request.h"
+#include "servers/exchange/field_syntax.h"
 
 namespace teaselpitch {
 namespace {
 
 constexpr std::size_t piece_size = std::size_t{32} * 1024;
-/// Maximum number of interim (1xx) and stale answers before the answer.
-constexpr int max_interim_answers = 16;
 
 bool is_connection_closed(error_code error) {
     return error == net::error::eof || error == net::error::connection_reset ||
@@ -142,6 +142,7 @@
         set_failure_before_head(error);
         co_return result_;
     }
+    write_failed_ = error.failed();
     co_return exchange_result{};  // After a reset, the answer of the target may still be readable.
 }
 
@@ -208,6 +209,7 @@
         auto [error, size] = co_await net::async_write(socket, piece, tuple_awaitable);
         failure = error;
     }
+    write_failed_ = write_failed_ || failure.failed();
     co_return !failure;
 }
 
@@ -226,19 +228,12 @@
 
 awaitable<bool> target_exchange::receive_head(const request_head& head) {
     for (int interim = 0; interim < max_interim_answers; ++interim) {
-        parser_.emplace();
-        parser_->header_limit(options_.max_header_bytes);
-        parser_->body_limit(boost::none);
-        parser_->skip(head.method == "HEAD");
-        auto [error, size] = co_await http::async_read_header(connection_->socket, connection_->buffer,
-                                                              *parser_, tuple_awaitable);
-        if (error) {
-            set_failure_before_head(error);
+        if (!co_await parse_head(head)) {
             co_return false;
         }
         const unsigned status = parser_->get().result_int();
         if (status >= 200 && is_answer_to(head)) {
-            co_return check_framing() && check_dialect_rules(status);
+            co_return check_dialect_rules(status);
         }
         if (status >= 200 && !co_await discard_stale_answer()) {
             co_return false;
@@ -247,10 +242,34 @@
             break;  // The request did not ask for an upgrade.
         }
     }
-    set_failure_before_head(http::error::bad_status);
+    set_malformed_head("a status 101 or too many interim answers");
     co_return false;
 }
 
+awaitable<bool> target_exchange::parse_head(const request_head& head) {
+    const answer_head_failure failure =
+        co_await read_answer_head(connection_->socket, connection_->buffer, options_.max_header_bytes);
+    if (failure.error) {
+        set_failure_before_head(failure.error);
+        co_return false;
+    }
+    if (!failure.malformed.empty()) {
+        set_malformed_head(failure.malformed);
+        co_return false;
+    }
+    parser_.emplace();
+    parser_->header_limit(options_.max_header_bytes);
+    parser_->body_limit(boost::none);
+    parser_->skip(head.method == "HEAD");
+    auto [error, size] =
+        co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_, tuple_awaitable);
+    if (error) {
+        set_failure_before_head(error);
+        co_return false;
+    }
+    co_return true;
+}
+
 bool target_exchange::is_answer_to(const request_head& head) const {
     const http_dialect& dialect = options_.dialect;
     return !dialect.answers_echo_request_id || parser_->get()[dialect.request_id_field] == head.request_id;
@@ -297,16 +316,6 @@
     return true;
 }
 
-bool target_exchange::check_framing() {
-    const auto& fields = parser_->get();
-    const bool has_transfer_encoding = fields.count(http::field::transfer_encoding) > 0;
-    if (has_transfer_encoding && !parser_->chunked()) {
-        set_failure_before_head(http::error::bad_transfer_encoding);
-        return false;
-    }
-    return true;
-}
-
 response_head target_exchange::make_response_head() const {
     const auto& message = parser_->get();
     response_head head;
@@ -344,6 +353,15 @@
             }
         }
     }
+    if (parser_->need_eof() && (!request_sent_ || write_failed_ || !connection_->ended_in_order())) {
+        // The end of the connection ends an answer without a length only if the connection did not fail.
+        set_failure_after_head(net::error::connection_reset, writer);
+        co_return;
+    }
+    if (!has_valid_fields()) {
+        set_failure_after_head(http::error::bad_field, writer);
+        co_return;
+    }
     const absl::Status status = co_await writer.finish();
     if (!status.ok()) {
         set_failure_after_head(net::error::operation_aborted, writer);
@@ -352,6 +370,15 @@
     result_.head_written = true;
 }
 
+// The parser adds the fields of a trailer to those of the head, which were checked before.
+bool target_exchange::has_valid_fields() const {
+    const auto& fields = parser_->get();
+    return std::all_of(fields.begin(), fields.end(), [](const auto& field) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        return is_field_name(name) && is_field_value({field.value().data(), field.value().size()});
+    });
+}
+
 void target_exchange::set_failure_before_head(error_code error) {
     if (deadline_.expired()) {
         result_ =
@@ -367,6 +394,12 @@
     result_.target_crashed = is_connection_closed(error);
 }
 
+// The target may have run the request, so the outcome is unknown.
+void target_exchange::set_malformed_head(std::string_view reason) {
+    result_ = failed_exchange(error_kind::outcome_unknown,
+                              "the target sent a malformed answer: " + std::string(reason));
+}
+
 void target_exchange::set_failure_after_head(error_code error, response_writer& writer) {
     writer.abort();
     if (deadline_.expired()) {
@@ -434,7 +467,7 @@
 
 void target_exchange::return_connection() {
     deadline_.disarm();
-    const bool reusable = request_sent_ && !deadline_.expired() && parser_->keep_alive() &&
+    const bool reusable = request_sent_ && !write_failed_ && !deadline_.expired() && parser_->keep_alive() &&
                           connection_->buffer.size() == 0 && connection_->socket.is_open();
     if (reusable) {
         apply_keep_alive_timeout();
--- a/drivers/http/target_exchange.h
+++ b/drivers/http/target_exchange.h
@@ -39,14 +39,17 @@
     awaitable<bool> send_piece(std::span<const std::byte> data, bool chunked);
     awaitable<void> receive(const request_head& head, response_writer& writer);
     awaitable<bool> receive_head(const request_head& head);
+    /// Reads the head of the next answer, which may be an interim or a stale one.
+    awaitable<bool> parse_head(const request_head& head);
     awaitable<void> receive_body(response_writer& writer);
     [[nodiscard]] bool is_answer_to(const request_head& head) const;
     awaitable<bool> discard_stale_answer();
-    bool check_framing();
     bool check_dialect_rules(unsigned status);
     void apply_keep_alive_timeout();
     [[nodiscard]] response_head make_response_head() const;
+    [[nodiscard]] bool has_valid_fields() const;
     void set_failure_before_head(error_code error);
+    void set_malformed_head(std::string_view reason);
     void set_failure_after_head(error_code error, response_writer& writer);
     void set_body_failure(const absl::Status& status);
     [[nodiscard]] exchange_result result_from_exception(const std::exception& error) const;
@@ -65,6 +68,7 @@
         body_failure_;           // Set when reading the request body failed; overrides result_.
     bool bytes_sent_ = false;    // The target may have received a part of the request.
     bool request_sent_ = false;  // The whole request has been written.
+    bool write_failed_ = false;  // A write on the connection has failed.
     bool head_written_ = false;
 };
 
