Reject malformed response heads from other nodes

Cause: the ingress forwarded any response head that a peer encoded, also one with status 0 or a line end in a field. Streams that end during an upload were covered by no test.

Change: decode_response checks status, reason and fields with find_response_error; the exchange ends as outcome unknown. The replies of the scripted peer gain malformed heads and ends in the body, and each runs with and without an upload in progress.

Conclusion: no cause like that of the target connections was found between nodes: END_STREAM, the result trailer and the close code are kept per stream and are not consumed by a write.

--- a/drivers/peer/client_stream.cpp
+++ b/drivers/peer/client_stream.cpp
@@ -101,9 +101,10 @@
         co_return result.ok() ? *std::move(result) : stream_failure_result();
     }
     absl::StatusOr<response_head> head = decode_response(find_field(fields, response_field).value_or(""));
-    if (!head.ok() || !find_field(fields, response_field).has_value()) {
-        co_return failed_exchange(error_kind::outcome_unknown,
-                                  "the peer's answer has no valid response head");
+    if (!head.ok()) {
+        co_return failed_exchange(
+            error_kind::outcome_unknown,
+            "the peer's answer has no valid response head: " + std::string(status_message(head.status())));
     }
     head_written_ = true;
     if (!(co_await writer_.write_head(*head)).ok()) {
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/escaping.h"
 #include "core/wire/peer.pb.h"
+#include "servers/exchange/field_syntax.h"
 
 namespace teaselpitch {
 namespace {
@@ -176,6 +177,9 @@
     }
     head.has_body = message->has_body();
     head.target = std::move(*message->mutable_target());
+    if (const auto error = find_response_error(head)) {
+        return absl::InvalidArgumentError(*error);
+    }
     return head;
 }
 
--- a/tests/drivers/peer/connection_fault_test.cpp
+++ b/tests/drivers/peer/connection_fault_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <tuple>
 
+#include "drivers/peer/head_codec.h"
 #include "tests/drivers/peer/peer_fixture.h"
 #include "tests/drivers/peer/peer_network_fakes.h"
 
@@ -131,9 +132,8 @@
 }
 
 /// HEADERS frame with a response head, as literal header fields.
-std::string response_head_frame() {
+std::string response_head_frame(const std::string& value = "CMgB") {  // Status 200.
     const std::string name = "teaselpitch-response-bin";
-    const std::string value = "CMgB";  // Status 200.
     const std::string block = std::string("\x88\x00", 2) + static_cast<char>(name.size()) + name +
                               static_cast<char>(value.size()) + value;
     constexpr std::uint8_t headers = 1;
@@ -141,6 +141,15 @@
     return scripted_peer::frame(headers, 1, block, end_headers);
 }
 
+std::string encoded_head(unsigned status, const header_field& field = {"a", "b"},
+                         const std::string& reason = "OK") {
+    response_head head;
+    head.status = status;
+    head.reason = reason;
+    head.headers = {field};
+    return response_head_frame(encode_response(head));
+}
+
 const std::vector<scripted_reply_case> scripted_reply_cases{
     {"REFUSED_STREAM after the response head",
      response_head_frame() + scripted_peer::frame(rst_stream_type, 1, scripted_peer::encode_uint32(7)), false,
@@ -158,21 +167,39 @@
      false, "outcome_unknown"},
     {"closed without any frame", "", true, "outcome_unknown"},
     {"invalid bytes", std::string(100, '\xee'), false, "outcome_unknown"},
+    {"END_STREAM in the response head's stream after body bytes",
+     response_head_frame() + scripted_peer::frame(0, 1, "part") + scripted_peer::frame(0, 1, "", 1), false,
+     "answer_broken"},
+    {"RST_STREAM with NO_ERROR after body bytes",
+     response_head_frame() + scripted_peer::frame(0, 1, "part") +
+         scripted_peer::frame(rst_stream_type, 1, scripted_peer::encode_uint32(0)),
+     false, "answer_broken"},
+    {"closed after body bytes", response_head_frame() + scripted_peer::frame(0, 1, "part"), true,
+     "answer_broken"},
+    {"response head that is not base64", response_head_frame("*"), false, "outcome_unknown"},
+    {"status 0", encoded_head(0), false, "outcome_unknown"},
+    {"status 99", encoded_head(99), false, "outcome_unknown"},
+    {"status 100", encoded_head(100), false, "outcome_unknown"},
+    {"status 1000", encoded_head(1000), false, "outcome_unknown"},
+    {"field name with a blank", encoded_head(200, {"a b", "c"}), false, "outcome_unknown"},
+    {"empty field name", encoded_head(200, {"", "c"}), false, "outcome_unknown"},
+    {"field name with a control byte", encoded_head(200, {"a\x01", "c"}), false, "outcome_unknown"},
+    {"field value with a line end", encoded_head(200, {"a", "c\r\nd: e"}), false, "outcome_unknown"},
+    {"reason with a line end", encoded_head(200, {"a", "b"}, "OK\r\nd: e"), false, "outcome_unknown"},
 };
 
-// Guards against HTTP/2 replies that are misread: only REFUSED_STREAM before the response head and a GOAWAY
-// that excludes the stream prove that the request was not run.
-BOOST_DATA_TEST_CASE(protocol_replies_give_correct_execution_state,
-                     boost::unit_test::data::make(scripted_reply_cases), sample) {
+void check_scripted_reply(const scripted_reply_case& sample, bool upload) {
+    // More than the window of the peer, so that the body is still being sent.
+    constexpr std::size_t upload_bytes = 1'000'000;
     peer_fixture peers;
     scripted_peer scripted(peers.context, scripted_peer::frame(settings_type, 0, ""), sample.reply,
                            sample.close_after);
     peers.start();
     peers.run([&]() -> awaitable<void> {
-        pattern_body body(0);
+        pattern_body body(upload ? upload_bytes : 0);
         recording_writer writer;
         const auto result =
-            co_await peers.pool->exchange(scripted.listen_endpoint(), peers.request(), body, writer);
+            co_await peers.pool->exchange(scripted.listen_endpoint(), peers.request(upload), body, writer);
         BOOST_TEST(error_name(result) == sample.error);
         BOOST_TEST((result.execution == get_error_answer(result.error).execution));
         BOOST_TEST(writer.aborted == (sample.error == "answer_broken"));
@@ -182,6 +209,19 @@
     });
 }
 
+// Guards against HTTP/2 replies that are misread: only REFUSED_STREAM before the response head and a GOAWAY
+// that excludes the stream prove that the request was not run.
+BOOST_DATA_TEST_CASE(protocol_replies_give_correct_execution_state,
+                     boost::unit_test::data::make(scripted_reply_cases), sample) {
+    check_scripted_reply(sample, false);
+}
+
+// Guards against the same while the body of the request is still being sent.
+BOOST_DATA_TEST_CASE(protocol_replies_during_an_upload_give_correct_execution_state,
+                     boost::unit_test::data::make(scripted_reply_cases), sample) {
+    check_scripted_reply(sample, true);
+}
+
 // Guards against a refused connection that is reported as an unknown outcome although nothing was sent.
 BOOST_AUTO_TEST_CASE(closed_port_is_unreachable) {
     peer_fixture peers;
