Never run a stream that the gate's own GOAWAY excludes

The ingress takes an excluded stream as proof that it has not run and sends the request again, so a non-idempotent one ran twice.

Change: the session counts resets itself and queues the GOAWAY itself, so it knows the last stream from that moment on; later streams get REFUSED_STREAM before they reach the handler. The limit is 25,600 resets per second, all 256 concurrent streams cancelled a hundred times a second; the limit of nghttp2 is twice as high and is met only after it. Reaching it logs peer_stream_reset_limit.

--- a/drivers/peer/h2_callbacks.cpp
+++ b/drivers/peer/h2_callbacks.cpp
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-nghttp2_session* h2_callbacks::create_session(h2_session& session, bool server) {
+nghttp2_session* h2_callbacks::create_session(h2_session& session, const h2_session_options& options) {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, on_begin_headers);
@@ -47,8 +47,11 @@
     nghttp2_option* option = nullptr;
     nghttp2_option_new(&option);
     nghttp2_option_set_no_auto_window_update(option, 1);
+    // nghttp2 queues the GOAWAY of its own limit unseen, so the session's limit must be reached first.
+    const std::uint64_t reset_limit = std::uint64_t{2} * options.max_stream_resets_per_second;
+    nghttp2_option_set_stream_reset_rate_limit(option, reset_limit, reset_limit);
     nghttp2_session* created = nullptr;
-    if (server) {
+    if (options.role == h2_role::server) {
         nghttp2_session_server_new2(&created, callbacks, &session, option);
     } else {
         nghttp2_session_client_new2(&created, callbacks, &session, option);
@@ -93,6 +96,9 @@
     if (frame->hd.type == NGHTTP2_GOAWAY) {
         owner.going_away_ = true;
     }
+    if (frame->hd.type == NGHTTP2_RST_STREAM) {
+        owner.count_stream_reset();
+    }
     const auto found = owner.streams_.find(frame->hd.stream_id);
     if (found == owner.streams_.end()) {
         return 0;
@@ -103,8 +109,8 @@
     }
     if (frame->hd.type == NGHTTP2_HEADERS && !stream->head_received) {
         stream->head_received = true;
-        if (frame->headers.cat == NGHTTP2_HCAT_REQUEST && owner.hooks_.on_request) {
-            owner.hooks_.on_request(stream);
+        if (frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+            owner.accept_request(stream);
         }
     }
     stream->changed.notify();
--- a/drivers/peer/h2_callbacks.h
+++ b/drivers/peer/h2_callbacks.h
@@ -8,12 +8,13 @@
 namespace teaselpitch {
 
 class h2_session;
+struct h2_session_options;
 
 /// nghttp2 callbacks of an h2_session. None of them calls nghttp2's send or receive functions, which are not
 /// reentrant.
 struct h2_callbacks {
     /// Creates an nghttp2 server or client session with all callbacks set; the caller deletes it.
-    static nghttp2_session* create_session(h2_session& session, bool server);
+    static nghttp2_session* create_session(h2_session& session, const h2_session_options& options);
 
     /// Data source callback: moves queued outbound bytes of the h2_stream in source->ptr into the buffer.
     static ssize_t read_body(nghttp2_session* session, std::int32_t id, std::uint8_t* buffer,
--- a/drivers/peer/h2_session.cpp
+++ b/drivers/peer/h2_session.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/event_log.h"
 #include "drivers/peer/h2_callbacks.h"
 
 namespace teaselpitch {
@@ -70,8 +71,9 @@
       input_received_(socket_.get_executor()),
       health_timer_(socket_.get_executor()),
       last_received_at_(clock::now()),
-      activity_changed_at_(last_received_at_) {
-    session_ = h2_callbacks::create_session(*this, options_.role == h2_role::server);
+      activity_changed_at_(last_received_at_),
+      resets_(options_.max_stream_resets_per_second, last_received_at_) {
+    session_ = h2_callbacks::create_session(*this, options_);
     submit_settings();
 }
 
@@ -382,14 +384,42 @@
     auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), goaway_delay);
     timer->async_wait([self = shared_from_this(), timer](const boost::system::error_code&) {
         if (!self->closed_) {
-            nghttp2_submit_goaway(self->session_, NGHTTP2_FLAG_NONE,
-                                  nghttp2_session_get_last_proc_stream_id(self->session_), NGHTTP2_NO_ERROR,
-                                  nullptr, 0);
-            self->flush();
+            self->submit_final_goaway(NGHTTP2_NO_ERROR);
         }
     });
 }
 
+// nghttp2 accepts streams until it writes a queued GOAWAY. The peer sends the requests of excluded streams
+// again, so none of them may reach the hook.
+void h2_session::accept_request(const std::shared_ptr<h2_stream>& stream) {
+    if (final_goaway_queued_) {
+        reset(*stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
+    last_request_id_ = std::max(last_request_id_, stream->id);
+    if (hooks_.on_request) {
+        hooks_.on_request(stream);
+    }
+}
+
+void h2_session::count_stream_reset() {
+    if (options_.role == h2_role::server && !final_goaway_queued_ && !resets_.take(clock::now())) {
+        going_away_ = true;
+        log_event(event_level::warning, "peer_stream_reset_limit",
+                  {{"max_per_second", options_.max_stream_resets_per_second}});
+        submit_final_goaway(NGHTTP2_ENHANCE_YOUR_CALM);
+    }
+}
+
+void h2_session::submit_final_goaway(std::uint32_t error_code) {
+    if (final_goaway_queued_) {
+        return;
+    }
+    final_goaway_queued_ = true;
+    nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, last_request_id_, error_code, nullptr, 0);
+    flush();
+}
+
 void h2_session::close() {
     if (closed_) {
         return;
--- a/drivers/peer/h2_session.h
+++ b/drivers/peer/h2_session.h
@@ -20,6 +20,7 @@
 #include "absl/status/statusor.h"
 #include "drivers/peer/async_signal.h"
 #include "drivers/peer/h2_stream.h"
+#include "drivers/peer/reset_limiter.h"
 
 namespace teaselpitch {
 
@@ -33,6 +34,9 @@
     std::chrono::milliseconds ping_idle{100};      ///< Receive inactivity with open streams before a PING.
     std::chrono::milliseconds ping_deadline{300};  ///< Time to receive any byte after a PING.
     std::chrono::milliseconds idle_timeout{0};     ///< Drains a session without streams; 0 disables it.
+    /// Servers only: a peer that resets more streams per second gets GOAWAY. Callers that cancel all
+    /// concurrent streams (256) a hundred times per second stay below the limit.
+    std::uint32_t max_stream_resets_per_second = 25'600;
 };
 
 /// Notifications to the owner of a session. They run on the session's executor.
@@ -121,6 +125,12 @@
     boost::asio::awaitable<void> health_check_loop();
     boost::asio::awaitable<void> linger();
     std::size_t collect_output();
+    /// Passes a request to the hook, or refuses it when a queued GOAWAY excludes its stream.
+    void accept_request(const std::shared_ptr<h2_stream>& stream);
+    /// Sends GOAWAY when the peer resets more streams than the limit allows.
+    void count_stream_reset();
+    /// Queues the GOAWAY that excludes all streams whose request was not passed to the hook.
+    void submit_final_goaway(std::uint32_t error_code);
     void submit_settings();
     void check_health();
     /// Ends all streams except those that wait for an unresponsive peer; without any, closes the session.
@@ -145,6 +155,9 @@
     std::chrono::steady_clock::time_point last_received_at_;
     std::chrono::steady_clock::time_point activity_changed_at_;
     std::chrono::steady_clock::time_point ping_sent_at_;
+    std::int32_t last_request_id_ = 0;  // Highest stream whose request was passed to the hook.
+    bool final_goaway_queued_ = false;
+    reset_limiter resets_;  // Initialized after last_received_at_.
     bool ping_pending_ = false;
     bool settings_received_ = false;
     bool going_away_ = false;
--- a/drivers/peer/peer_server.cpp
+++ b/drivers/peer/peer_server.cpp
@@ -133,6 +133,7 @@
     result.ping_idle = options_.ping_idle;
     result.ping_deadline = options_.ping_deadline;
     result.idle_timeout = options_.idle_timeout;
+    result.max_stream_resets_per_second = options_.max_stream_resets_per_second;
     return result;
 }
 
--- a/drivers/peer/peer_server.h
+++ b/drivers/peer/peer_server.h
@@ -33,6 +33,8 @@
     /// Time without streams before a connection is closed; longer than the timeout of the pool, which closes
     /// first.
     std::chrono::milliseconds idle_timeout{600'000};
+    /// Per connection; see h2_session_options.
+    std::uint32_t max_stream_resets_per_second = 25'600;
 };
 
 /// Handles a control call; returns the payload of the answer or the status to send.
