--- a/drivers/http/target_exchange.h
+++ b/drivers/http/target_exchange.h
@@ -12,42 +12,11 @@
 #include "drivers/http/asio_types.h"
 #include "drivers/http/io_deadline.h"
 #include "drivers/http/target_client.h"
+#include "drivers/http/target_connection.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
 
-/// One TCP connection to a target, with its read buffer.
-struct target_connection {
-    explicit target_connection(const net::any_io_executor& executor);
-
-    /// True when no bytes have arrived and the target has not closed the connection; otherwise it must not be
-    /// reused.
-    [[nodiscard]] bool is_reusable();
-
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-    steady_time idle_since;
-    /// How long the connection may stay idle according to the target's Keep-Alive field; max() without one.
-    std::chrono::milliseconds target_idle_timeout = std::chrono::milliseconds::max();
-};
-
-/// Pool of idle connections that exchanges take connections from and return them to.
-class target_connection_pool {
-public:
-    virtual ~target_connection_pool() = default;
-    virtual net::any_io_executor executor() = 0;
-    virtual const endpoint& target() = 0;
-    /// Removes and returns a reusable connection that has been idle for at most this time; null when there is
-    /// none.
-    virtual std::unique_ptr<target_connection> acquire_idle(std::chrono::milliseconds max_idle_time) = 0;
-    virtual void put_idle(std::unique_ptr<target_connection> connection) = 0;
-
-protected:
-    target_connection_pool() = default;
-    target_connection_pool(const target_connection_pool&) = default;
-    target_connection_pool& operator=(const target_connection_pool&) = default;
-};
-
 /// One request to a target and its answer. The connection is reused only after a complete exchange without
 /// errors.
 class target_exchange {
@@ -70,14 +39,17 @@
     awaitable<bool> send_piece(std::span<const std::byte> data, bool chunked);
     awaitable<void> receive(const request_head& head, response_writer& writer);
     awaitable<bool> receive_head(const request_head& head);
+    /// Reads the head of the next answer, which may be an interim or a stale one.
+    awaitable<bool> parse_head(const request_head& head);
     awaitable<void> receive_body(response_writer& writer);
     [[nodiscard]] bool is_answer_to(const request_head& head) const;
     awaitable<bool> discard_stale_answer();
-    bool check_framing();
     bool check_dialect_rules(unsigned status);
     void apply_keep_alive_timeout();
     [[nodiscard]] response_head make_response_head() const;
+    [[nodiscard]] bool has_valid_fields() const;
     void set_failure_before_head(error_code error);
+    void set_malformed_head(std::string_view reason);
     void set_failure_after_head(error_code error, response_writer& writer);
     void set_body_failure(const absl::Status& status);
     [[nodiscard]] exchange_result result_from_exception(const std::exception& error) const;
@@ -96,6 +68,7 @@
         body_failure_;           // Set when reading the request body failed; overrides result_.
     bool bytes_sent_ = false;    // The target may have received a part of the request.
     bool request_sent_ = false;  // The whole request has been written.
+    bool write_failed_ = false;  // A write on the connection has failed.
     bool head_written_ = false;
 };
 
