Choose targets by expected completion when the expected work is known

Cause: the choice by requests per slot ignores the work of the requests, the speed of the targets and the age of reports.

Change: the load report has the expected wait, the speed, and the time of the run and at the gate, all absent unless the gate estimates them. completion_estimate scores a target from its last report, the report's age, own requests since and the mean of its zone. With the expected work, target_chooser takes the better of two sampled targets of the local zone, or of two others when the advantage exceeds the noise. Without it, the choice is unchanged.

Conclusion: the choice is ready to be wired in.

--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -55,6 +55,16 @@
     message.set_badness(load.outlier_score);
     message.set_suspect(load.suspect);
     message.set_leaving(load.leaving);
+    message.set_expected_wait_ms(load.expected_wait_ms);
+    message.set_speed(load.speed);
+    message.set_run_us(static_cast<std::uint64_t>(load.run_time.count()));
+    message.set_gate_us(static_cast<std::uint64_t>(load.gate_time.count()));
+}
+
+std::chrono::microseconds read_duration(std::uint64_t us) {
+    // Prevents an overflow. No request takes longer.
+    constexpr std::chrono::microseconds max_duration = std::chrono::hours{24};
+    return std::chrono::microseconds(std::min(us, static_cast<std::uint64_t>(max_duration.count())));
 }
 
 load_report read_load(const wire::LoadReport& message) {
@@ -64,7 +74,11 @@
             .queued = message.queued(),
             .outlier_score = message.badness(),
             .leaving = message.leaving(),
-            .suspect = message.suspect()};
+            .suspect = message.suspect(),
+            .expected_wait_ms = message.expected_wait_ms(),
+            .speed = message.speed(),
+            .run_time = read_duration(message.run_us()),
+            .gate_time = read_duration(message.gate_us())};
 }
 
 }  // namespace
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -88,6 +88,11 @@
     bool leaving = false;
     bool suspect =
         false;  ///< The target failed its latest requests; other targets are preferred for a short time.
+    // The fields below are set only by gates with routing.cost_aware.
+    double expected_wait_ms = 0;  ///< Until a slot is free for a new request; 0 while one is.
+    double speed = 0;             ///< Of the target, 1 is normal; 0 when the gate does not estimate it.
+    std::chrono::microseconds run_time{0};   ///< Of this request at the target; 0 unless it succeeded.
+    std::chrono::microseconds gate_time{0};  ///< Of this request at the gate, with its wait; 0 when unknown.
 };
 
 /// Result of an exchange.
@@ -96,8 +101,8 @@
     execution_state execution = execution_state::run;
     bool head_written = false;    ///< The answer has started, so that no other attempt can replace it.
     bool target_crashed = false;  ///< The connection was lost after the request was sent.
-    unsigned answer_status = 0;   ///< HTTP status of the target's answer; 0 without an answer.
-    std::string detail;           ///< One sentence for logs and the explain query.
+    unsigned answer_status = 0;  ///< HTTP status of the target's answer; 0 without an answer.
+    std::string detail;          ///< One sentence for logs and the explain query.
     std::optional<load_report> load;
     std::optional<std::chrono::milliseconds> retry_after;
     /// Value of the field Teaselpitch-Slot-Epoch, which marks a new first request with a key whose slot was
--- a/servers/routing/target_chooser.cpp
+++ b/servers/routing/target_chooser.cpp
@@ -20,6 +20,17 @@
     48;  // 35 targets per service on average at the size expected in two years.
 constexpr std::size_t inline_zone_count = 4;
 
+constexpr double min_speed = 0.05;
+constexpr double max_speed = 20;
+constexpr double max_expected_wait_ms = 600'000;
+constexpr double unknown_transfer_ms = -1;
+constexpr double max_transfer_ms = 200;
+// Assumed until the first answer from a zone.
+constexpr double local_transfer_ms = 1;
+constexpr double remote_transfer_ms = 3;
+// Peer connections are closed when they are idle for about this long.
+constexpr std::chrono::seconds connection_lifetime{30};
+
 // SplitMix64 finalizer. Applied to a shared counter, it gives a random sequence to many threads without a
 // lock.
 std::uint64_t mix_bits(std::uint64_t value) {
@@ -78,6 +89,7 @@
     double full_share_weight = 0;
     double reduced_share_weight = 0;
     bool only_suspects_left = false;
+    std::optional<double> expected_ms{};
 };
 
 target_chooser::target_chooser(const time_source& clock, chooser_options options, std::uint64_t seed)
@@ -101,7 +113,15 @@
             const double max_concurrent_requests = limit == limits.end()
                                                        ? std::numeric_limits<double>::infinity()
                                                        : static_cast<double>(limit->max_concurrent_requests);
-            zone = next->zones.insert(zone, {.name = target.zone, .limit = max_concurrent_requests});
+            const auto former =
+                std::find_if(previous->zones.begin(), previous->zones.end(),
+                             [&](const view_zone& known) { return known.name == target.zone; });
+            zone = next->zones.insert(
+                zone, {.name = target.zone,
+                       .limit = max_concurrent_requests,
+                       .transfer_ms = former == previous->zones.end()
+                                          ? std::make_shared<std::atomic<double>>(unknown_transfer_ms)
+                                          : former->transfer_ms});
         }
         std::shared_ptr<target_load> load;
         const auto known = previous->by_name.find(target.identity.name);
@@ -129,6 +149,15 @@
     const auto total = static_cast<std::int32_t>(report.running + report.queued);
     const std::int32_t own = load.outstanding.load(std::memory_order_relaxed);
     load.requests_of_others.store(std::max(0, total - own), std::memory_order_relaxed);
+    load.own_at_report.store(own, std::memory_order_relaxed);
+    // Values of another process are bounded. Without a speed, the gate does not estimate its backlog.
+    const bool has_backlog = report.speed > 0;
+    load.speed.store(has_backlog ? std::clamp(report.speed, min_speed, max_speed) : 1.0,
+                     std::memory_order_relaxed);
+    load.expected_wait_ms.store(has_backlog && report.expected_wait_ms > 0
+                                    ? std::min(report.expected_wait_ms, max_expected_wait_ms)
+                                    : 0.0,
+                                std::memory_order_relaxed);
     load.reported_at_ns.store(to_ns(clock_.now()), std::memory_order_relaxed);
     if (report.leaving) {
         load.leaving.store(true, std::memory_order_relaxed);
@@ -136,7 +165,25 @@
     load.suspected_at_ns.store(report.suspect ? to_ns(clock_.now()) : 0, std::memory_order_relaxed);
 }
 
-target_choice target_chooser::choose(std::span<const std::string> excluded) {
+void target_chooser::on_transfer(std::string_view target, std::chrono::nanoseconds time) {
+    const std::shared_ptr<const view> current = view_.read();
+    const auto found = current->by_name.find(target);
+    if (found == current->by_name.end()) {
+        return;
+    }
+    // Follows the low values: the time of single attempts includes slow callers and lost packets.
+    constexpr double fall = 0.25;
+    constexpr double rise = 1.0 / 64;
+    std::atomic<double>& estimate = *current->zones[current->targets[found->second].zone].transfer_ms;
+    const double sample =
+        std::clamp(std::chrono::duration<double, std::milli>(time).count(), 0.0, max_transfer_ms);
+    const double known = estimate.load(std::memory_order_relaxed);
+    const double next = known < 0 ? sample : known + (sample < known ? fall : rise) * (sample - known);
+    estimate.store(next, std::memory_order_relaxed);
+}
+
+target_choice target_chooser::choose(std::span<const std::string> excluded,
+                                     const std::optional<expected_work>& work) {
     const std::shared_ptr<const view> current = view_.read();
     selection state{.current = *current, .now = clock_.now()};
     compute_weights(state, excluded);
@@ -144,7 +191,7 @@
     if (state.full_share_weight + state.reduced_share_weight <= 0) {
         return {.target = std::nullopt, .error = error_kind::no_target};
     }
-    const std::optional<std::size_t> index = select_target(state);
+    const std::optional<std::size_t> index = select_target(state, work);
     if (!index) {
         return {.target = std::nullopt, .error = error_kind::overloaded};
     }
@@ -152,7 +199,8 @@
     return {
         .target = chosen_target(chosen.target.identity, chosen.target.node, chosen.target.zone, chosen.load),
         .error = error_kind::none,
-        .suspect = state.only_suspects_left};
+        .suspect = state.only_suspects_left,
+        .expected_ms = state.expected_ms};
 }
 
 std::optional<double> target_chooser::load_of(std::string_view target) const {
@@ -263,7 +311,8 @@
     }
 }
 
-std::optional<std::size_t> target_chooser::select_target(selection& state) {
+std::optional<std::size_t> target_chooser::select_target(selection& state,
+                                                         const std::optional<expected_work>& work) {
     double position = next_uniform() * (state.full_share_weight + state.reduced_share_weight);
     if (position < state.reduced_share_weight) {
         for (std::size_t i = 0; i < state.weights.size(); ++i) {
@@ -272,6 +321,9 @@
             }
         }
     }
+    if (work) {
+        return select_by_completion(state, *work);
+    }
     const std::optional<std::uint32_t> zone = select_zone(state);
     if (!zone) {
         return std::nullopt;
@@ -351,6 +403,114 @@
     return load_per_slot(second) < load_per_slot(first) ? second : first;
 }
 
+reported_load target_chooser::reported_load_of(const view_target& target, steady_time now) const {
+    const target_load& load = *target.load;
+    const std::int64_t reported_at = load.reported_at_ns.load(std::memory_order_relaxed);
+    const double own = load.outstanding.load(std::memory_order_relaxed);
+    const bool reported = reported_at != 0;
+    return {
+        .slots = std::max(1U, target.target.slots),
+        .requests = own + (reported ? load.requests_of_others.load(std::memory_order_relaxed) : 0),
+        .own_since_report = own - load.own_at_report.load(std::memory_order_relaxed),
+        .expected_wait_ms = load.expected_wait_ms.load(std::memory_order_relaxed),
+        .speed = load.speed.load(std::memory_order_relaxed),
+        .reported = reported,
+        .age = reported ? std::chrono::nanoseconds(to_ns(now) - reported_at) : std::chrono::nanoseconds{0}};
+}
+
+double target_chooser::transfer_ms(const selection& state, const view_target& target) const {
+    const view_zone& zone = state.current.zones[target.zone];
+    const double known = zone.transfer_ms->load(std::memory_order_relaxed);
+    const double assumed = zone.name == options_.local_zone ? local_transfer_ms : remote_transfer_ms;
+    const double transfer = known < 0 ? assumed : known;
+    const std::int64_t reported_at = target.load->reported_at_ns.load(std::memory_order_relaxed);
+    // A new connection takes one more round trip.
+    const bool is_connected = reported_at != 0 && reported_at > to_ns(state.now - connection_lifetime);
+    return is_connected ? transfer : 2 * transfer;
+}
+
+// Samples two targets of the local zone and two of the others, by slots, weight and speed, and takes the
+// best of them. The random sample keeps the nodes from sending all requests to the same idle target.
+std::optional<std::size_t> target_chooser::select_by_completion(selection& state, const expected_work& work) {
+    const std::vector<view_target>& targets = state.current.targets;
+    const std::size_t count = targets.size();
+    const completion_estimate estimate(work);
+    absl::InlinedVector<reported_load, inline_target_count> loads(count);
+    absl::InlinedVector<double, inline_zone_count> excess(state.current.zones.size(), 0.0);
+    absl::InlinedVector<double, inline_zone_count> excess_weight(state.current.zones.size(), 0.0);
+    absl::InlinedVector<double, inline_target_count> local_weights(count, 0.0);
+    absl::InlinedVector<double, inline_target_count> other_weights(count, 0.0);
+    // Without recent reports, half of the slots are assumed to be free.
+    constexpr double assumed_excess = -0.5;
+    constexpr double assumed_weight = 0.05;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::uint32_t zone = targets[i].zone;
+        loads[i] = reported_load_of(targets[i], state.now);
+        const double report_weight = completion_estimate::zone_weight(loads[i]);
+        // Waits are averaged at normal speed, so that a slow target's few requests weigh like its wait.
+        const double reported = estimate.reported_excess(loads[i]);
+        excess[zone] += report_weight * (reported > 0 ? reported / loads[i].speed : reported);
+        excess_weight[zone] += report_weight;
+        if (state.reduced_share[i] || state.zone_load[zone] >= state.current.zones[zone].limit) {
+            continue;
+        }
+        const bool is_local = state.current.zones[zone].name == options_.local_zone;
+        (is_local ? local_weights : other_weights)[i] = state.weights[i] * loads[i].speed;
+    }
+    const auto completion = [&](std::size_t i) {
+        const std::uint32_t zone = targets[i].zone;
+        const double zone_excess =
+            (excess[zone] + assumed_weight * assumed_excess) / (excess_weight[zone] + assumed_weight);
+        return estimate.completion_ms(loads[i], zone_excess, transfer_ms(state, targets[i]));
+    };
+    const auto best_of_two = [&](std::span<const double> weights) {
+        const std::size_t first = sample(weights, count);
+        const std::size_t second = first == count ? count : sample(weights, first);
+        if (second == count) {
+            return first;
+        }
+        // Within the noise the choice is random, so that the nodes do not all prefer the same of few targets.
+        const double threshold = (2 * next_uniform() - 1) * estimate.noise_ms(loads[first]);
+        return completion(second) - completion(first) < threshold ? second : first;
+    };
+    const std::size_t local = best_of_two(local_weights);
+    const std::size_t other = best_of_two(other_weights);
+    if (local == count && other == count) {
+        return std::nullopt;
+    }
+    std::size_t chosen = local == count ? other : local;
+    if (local != count && other != count) {
+        // The share that leaves the zone grows with the advantage, so that the nodes of a busy zone do not
+        // all move to another one at the same time.
+        const double noise = estimate.noise_ms(loads[local]);
+        const double advantage = completion(local) - completion(other) - noise;
+        if (advantage > 0 && next_uniform() * (advantage + noise) < advantage) {
+            chosen = other;
+        }
+    }
+    state.expected_ms = completion(chosen);
+    return chosen;
+}
+
+// Returns the size of `weights` when no weight is positive.
+std::size_t target_chooser::sample(std::span<const double> weights, std::size_t without) {
+    double total = 0;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        total += i == without ? 0.0 : weights[i];
+    }
+    double position = next_uniform() * total;
+    std::size_t last = weights.size();
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        if (i != without && weights[i] > 0) {
+            last = i;
+            if ((position -= weights[i]) < 0) {
+                break;
+            }
+        }
+    }
+    return last;
+}
+
 double target_chooser::next_uniform() {
     const std::uint64_t index = random_counter_.fetch_add(1, std::memory_order_relaxed);
     return static_cast<double>(mix_bits(seed_ + (index + 1) * 0x9e3779b97f4a7c15U) >> 11U) * 0x1.0p-53;
--- a/servers/routing/target_chooser.h
+++ b/servers/routing/target_chooser.h
@@ -15,6 +15,7 @@
 #include "core/identity.h"
 #include "core/rcu_cell.h"
 #include "servers/exchange/exchange.h"
+#include "servers/routing/completion_estimate.h"
 #include "servers/routing/name_map.h"
 
 namespace teaselpitch {
@@ -63,7 +64,10 @@
     std::atomic<std::int64_t> reported_at_ns{0};  ///< Monotonic time of the last report; 0 without one.
     std::atomic<bool> leaving{false};
     std::atomic<std::int64_t> suspected_at_ns{
-        0};  ///< Monotonic time; 0 when the last report was not suspect.
+        0};                                      ///< Monotonic time; 0 when the last report was not suspect.
+    std::atomic<std::int32_t> own_at_report{0};  ///< Value of `outstanding` at the last report.
+    std::atomic<double> expected_wait_ms{0};     ///< Of the last report.
+    std::atomic<double> speed{1};                ///< Of the last report; 1 when it had none.
 };
 
 /// A chosen target. The request counts as outstanding until this object is destroyed.
@@ -95,6 +99,8 @@
     std::optional<chosen_target> target;
     error_kind error = error_kind::none;
     bool suspect = false;  ///< All remaining targets are suspect.
+    /// Expected time until the request is complete; empty without a choice by completion.
+    std::optional<double> expected_ms{};
 };
 
 /// Chooses the target of each attempt for one service on one node.
@@ -104,6 +110,10 @@
 /// warming up is selected from all zones by its share alone, because a selection by load would prefer an idle
 /// target. When no target has a share, the targets with the lowest outlier scores are chosen. Safe to use
 /// from several threads: choosing reads only an immutable view and atomics.
+///
+/// With the expected work of the request, the choice is by expected completion: the better of two sampled
+/// targets of the local zone, or the better of two of the other zones when that is expected to complete the
+/// request earlier by more than the noise.
 class target_chooser {
 public:
     target_chooser(const time_source& clock, chooser_options options, std::uint64_t seed);
@@ -114,7 +124,11 @@
     /// Applies the load report of an answer.
     void on_load_report(const load_report& report);
     /// Chooses a target that is not in `excluded`, the names of the targets of earlier attempts.
-    target_choice choose(std::span<const std::string> excluded);
+    target_choice choose(std::span<const std::string> excluded) { return choose(excluded, std::nullopt); }
+    /// Chooses by expected completion when the expected work is given.
+    target_choice choose(std::span<const std::string> excluded, const std::optional<expected_work>& work);
+    /// Applies the time that an attempt at a target spent on the way, outside of its gate.
+    void on_transfer(std::string_view target, std::chrono::nanoseconds time);
 
     /// Returns the estimated running and queued requests per slot; empty for an unknown target.
     [[nodiscard]] std::optional<double> load_of(std::string_view target) const;
@@ -128,6 +142,8 @@
     struct view_zone {
         std::string name{};
         double limit = 0;  ///< Infinite without a limit.
+        /// Time on the way to the zone; negative when unknown. Successive views share it.
+        std::shared_ptr<std::atomic<double>> transfer_ms{};
     };
     struct view {
         std::vector<view_target> targets;
@@ -145,9 +161,13 @@
     [[nodiscard]] std::chrono::milliseconds current_suspicion_time(const selection& state) const;
     void compute_weights(selection& state, std::span<const std::string> excluded) const;
     void exclude_suspects(selection& state) const;
-    std::optional<std::size_t> select_target(selection& state);
+    [[nodiscard]] reported_load reported_load_of(const view_target& target, steady_time now) const;
+    [[nodiscard]] double transfer_ms(const selection& state, const view_target& target) const;
+    std::optional<std::size_t> select_target(selection& state, const std::optional<expected_work>& work);
+    std::optional<std::size_t> select_by_completion(selection& state, const expected_work& work);
     std::optional<std::uint32_t> select_zone(selection& state);
     std::size_t select_in_zone(selection& state, std::uint32_t zone);
+    [[nodiscard]] std::size_t sample(std::span<const double> weights, std::size_t without);
     double next_uniform();
 
     const time_source& clock_;
