Add routing.cost_aware: estimates at gates and ingresses, metrics and a log line

Cause: the estimates and the choice by completion were not used by the node.

Change: with routing.cost_aware (default false), gates track the backlog of their targets and report it, ingresses learn from the runs and the time on the way of remote attempts, and request_router passes the expected work to the chooser. cost_awareness holds the estimator of the node, sets the metrics of the backlog and logs one line for each local target and one for the choices every ten seconds. Without the setting no estimator exists and no field is sent.

Conclusion: the line `cost_aware: true` under `routing:` in deploy/node.yaml enables it; it stays off there.

--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -81,6 +81,7 @@
     out.held_answer_bytes =
         static_cast<std::size_t>(routing.integer_or("held_answer_bytes", 64 * 1024, {0, max_buffer_bytes}));
     out.free_slot_hops = static_cast<std::uint32_t>(routing.integer_or("free_slot_hops", 2, {0, 16}));
+    out.cost_aware = routing.boolean_or("cost_aware", false);
     out.retry_floor_per_s = routing.number_or("retry_floor_per_s", 1.0, 0.0, 1'000.0);
     if (routing.has("fleet_retries")) {
         settings_section retry_section = routing.section("fleet_retries");
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -79,6 +79,8 @@
     std::size_t held_answer_bytes = 0;
     /// Maximum number of gates that are tried for a free slot before a request is queued.
     std::uint32_t free_slot_hops = 0;
+    /// Chooses targets by expected completion, and shares full gates fairly between client accounts.
+    bool cost_aware = false;
     /// Retries of a service that this node may always send, even without successful requests.
     double retry_floor_per_s = 0;
     /// Retry budget that all nodes share; empty when each node has its own budget.
--- a/drivers/settings/settings_section.cpp
+++ b/drivers/settings/settings_section.cpp
@@ -86,6 +86,19 @@
     return value;
 }
 
+bool settings_section::boolean_or(std::string_view key, bool fallback) {
+    const YAML::Node node = read_value(key);
+    if (!node.IsDefined()) {
+        return fallback;
+    }
+    bool value = false;
+    if (!node.IsScalar() || !YAML::convert<bool>::decode(node, value)) {
+        add_error(key, "expected true or false");
+        return fallback;
+    }
+    return value;
+}
+
 std::chrono::milliseconds settings_section::milliseconds_or(std::string_view key,
                                                             std::chrono::milliseconds fallback,
                                                             integer_range range_ms) {
--- a/drivers/settings/settings_section.h
+++ b/drivers/settings/settings_section.h
@@ -37,6 +37,7 @@
     std::string text_or(std::string_view key, std::string_view fallback);
     std::int64_t integer_or(std::string_view key, std::int64_t fallback, integer_range range);
     double number_or(std::string_view key, double fallback, double minimum, double maximum);
+    bool boolean_or(std::string_view key, bool fallback);
     std::chrono::milliseconds milliseconds_or(std::string_view key, std::chrono::milliseconds fallback,
                                               integer_range range_ms);
     endpoint required_endpoint(std::string_view key);
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -157,6 +157,9 @@
     context_.targets.quarantine().on_tick();
     gossip_all(crashes_.take_success_facts());
     context_.path_detector.on_tick();
+    if (context_.costs) {
+        context_.costs->on_second_tick(context_.targets.all(), context_.metrics);
+    }
     fleet_.renew_targets();
     update_retry_budgets();
     context_.metrics.set_dropped_events(dropped_event_count());
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -47,6 +47,7 @@
       decisions(clock, records_per_subject),
       outcomes(clock),
       path_detector(clock, path_fault_options_for(detection_policy::balanced)),
+      costs(settings.cost_aware ? std::make_optional<cost_awareness>(clock) : std::nullopt),
       routing(
           std::make_shared<const routing_table>(std::make_shared<const table>(), settings.availability_zone)),
       nodes(std::make_shared<const node_directory>()),
@@ -61,7 +62,8 @@
            .target_changed = [this](const managed_target_fact& fact) { target_changed(fact); },
            .target_crashed = [this](const gate_run& run,
                                     std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
-          decisions, renewal_limit_of(settings), retry_budget_options_of(settings)),
+          decisions, renewal_limit_of(settings), retry_budget_options_of(settings),
+          costs ? &costs->estimator() : nullptr),
       accounts(clock, self, [this] { return routing.read(); }) {}
 
 std::optional<drain_schedule> node_context::stop_schedule() const {
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -12,6 +12,7 @@
 #include "core/rcu_cell.h"
 #include "drivers/settings/node_settings.h"
 #include "modules/node/account_limits.h"
+#include "modules/node/cost_awareness.h"
 #include "modules/node/node_metrics.h"
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
@@ -54,6 +55,7 @@
     outcome_counters outcomes;
     node_metrics metrics;
     path_fault_detector path_detector;
+    std::optional<cost_awareness> costs;  ///< Empty without routing.cost_aware.
     rcu_cell<routing_table> routing;
     rcu_cell<node_directory> nodes;
     service_directory services;
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -26,6 +26,11 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+prometheus::Family<prometheus::Gauge>& register_gauges(prometheus::Registry& registry, const char* name,
+                                                       const char* help) {
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 labels service_and_error(std::string_view service, error_kind error) {
     return {{"service", std::string(service)}, {"error", std::string(get_error_answer(error).name)}};
 }
@@ -58,7 +63,13 @@
       live_claims_(register_gauge(registry_, "teaselpitch_claims", "Idempotency keys that are remembered")),
       claim_bytes_(register_gauge(registry_, "teaselpitch_claim_bytes", "Memory of the idempotency keys")),
       dropped_events_(
-          register_gauge(registry_, "teaselpitch_dropped_log_lines", "Log lines that were not written")) {}
+          register_gauge(registry_, "teaselpitch_dropped_log_lines", "Log lines that were not written")),
+      target_expected_wait_(register_gauges(registry_, "teaselpitch_target_expected_wait_seconds",
+                                            "Expected time until a slot of the target is free")),
+      target_speed_(register_gauges(registry_, "teaselpitch_target_speed",
+                                    "Expected divided by observed time of recent runs")),
+      completion_choices_(register_gauges(registry_, "teaselpitch_completion_choices",
+                                          "Choices of a target by expected completion since the start")) {}
 
 void node_metrics::count_request(std::string_view service, error_kind error,
                                  std::chrono::nanoseconds latency) {
@@ -108,6 +119,18 @@
     dropped_events_.Set(static_cast<double>(lines));
 }
 
+void node_metrics::set_target_backlog(std::string_view target, double expected_wait_ms, double speed) {
+    constexpr double ms_per_s = 1'000;
+    const labels label{{"target", std::string(target)}};
+    target_expected_wait_.Add(label).Set(expected_wait_ms / ms_per_s);
+    target_speed_.Add(label).Set(speed);
+}
+
+void node_metrics::set_completion_choices(std::uint64_t local_zone, std::uint64_t other_zones) {
+    completion_choices_.Add({{"zone", "local"}}).Set(static_cast<double>(local_zone));
+    completion_choices_.Add({{"zone", "other"}}).Set(static_cast<double>(other_zones));
+}
+
 std::string node_metrics::serialize() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -31,6 +31,8 @@
     void count_store_call(std::string_view call, unsigned status);
     void set_log_available(bool available);
     void set_claims(std::size_t live, std::size_t bytes);
+    void set_target_backlog(std::string_view target, double expected_wait_ms, double speed);
+    void set_completion_choices(std::uint64_t local_zone, std::uint64_t other_zones);
     void set_dropped_events(std::uint64_t lines);
 
     // Queries.
@@ -52,6 +54,9 @@
     prometheus::Gauge& live_claims_;
     prometheus::Gauge& claim_bytes_;
     prometheus::Gauge& dropped_events_;
+    prometheus::Family<prometheus::Gauge>& target_expected_wait_;
+    prometheus::Family<prometheus::Gauge>& target_speed_;
+    prometheus::Family<prometheus::Gauge>& completion_choices_;
 };
 
 }  // namespace teaselpitch
--- a/modules/node/request_router.cpp
+++ b/modules/node/request_router.cpp
@@ -99,7 +99,11 @@
                           std::nullopt};
         return result;
     }
-    target_choice chosen = router->choose(tried);
+    std::optional<expected_work> work;
+    if (context_.costs) {
+        work = context_.costs->expected_work_of(head);
+    }
+    target_choice chosen = router->choose(tried, work);
     if (!chosen.target) {
         result.refused = {chosen.error, "no target of the service can accept the request", std::nullopt};
         return result;
@@ -108,7 +112,11 @@
     route.target = chosen.target->target();
     route.node = chosen.target->node();
     route.local = route.node == context_.self.name;
-    route.reason = "least_loaded_of_two";
+    route.reason = chosen.expected_ms ? "earliest_completion_of_two" : "least_loaded_of_two";
+    route.expected_ms = chosen.expected_ms;
+    if (context_.costs && chosen.expected_ms) {
+        context_.costs->count_choice(chosen.target->zone() == context_.settings.availability_zone);
+    }
     route.suspect = chosen.suspect;
     route.in_flight_guard = std::make_shared<chosen_target>(std::move(*chosen.target));
     const auto nodes = context_.nodes.read();
@@ -151,12 +159,30 @@
     }
     if (report.result.load) {
         router->on_load(*report.result.load);
+        if (context_.costs) {
+            apply_cost(report, *router);
+        }
     }
     if (!report.choice.local) {
         assess_path(report, *router);
     }
 }
 
+void request_router::apply_cost(const attempt_report& report, service_router& router) {
+    const load_report& load = *report.result.load;
+    if (load.run_time.count() <= 0) {
+        return;
+    }
+    context_.costs->count_completion(report.choice.expected_ms, report.latency);
+    // The local gate has already learned from this run.
+    if (!report.choice.local) {
+        context_.costs->estimator().learn(make_work_key(report.head), load.run_time);
+        if (load.gate_time.count() > 0 && report.latency > load.gate_time) {
+            router.on_transfer(load.target, report.latency - load.gate_time);
+        }
+    }
+}
+
 void request_router::assess_path(const attempt_report& report, service_router& router) {
     const path_outcome outcome = path_outcome_of(report.result);
     const std::string& target = report.choice.target.name;
--- a/modules/node/request_router.h
+++ b/modules/node/request_router.h
@@ -28,6 +28,8 @@
     void exchange_ended(const ingress_report& report);
 
 private:
+    /// Learns from the run and from the time on the way of a successful attempt.
+    void apply_cost(const attempt_report& report, service_router& router);
     void assess_path(const attempt_report& report, service_router& router);
     void log_request(const ingress_report& report);
     void record_request(const ingress_report& report);
--- a/modules/node/service_router.h
+++ b/modules/node/service_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -55,7 +56,15 @@
     void on_hint(std::string_view target, std::string_view origin_node, std::string_view origin_zone,
                  double outlier_score);
     void on_gossiped_verdict(std::string_view target, double outlier_score);
-    target_choice choose(std::span<const std::string> tried) { return chooser_.choose(tried); }
+    /// Chooses by expected completion when the expected work is given.
+    target_choice choose(std::span<const std::string> tried,
+                         const std::optional<expected_work>& work = std::nullopt) {
+        return chooser_.choose(tried, work);
+    }
+    /// Applies the time that an attempt spent on the way to the target.
+    void on_transfer(std::string_view target, std::chrono::nanoseconds time) {
+        chooser_.on_transfer(target, time);
+    }
     retry_policy& retries() { return retries_; }
 
     // Queries.
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -102,8 +102,9 @@
 
 managed_target::managed_target(const time_source& clock, const announcement& first,
                                const admission_options& admission, const outlier_detection_options& detection,
-                               const std::optional<fleet_retry_budget_options>& retry_budget)
-    : guarded_(clock, first.identity, first.service, first.address, admission),
+                               const std::optional<fleet_retry_budget_options>& retry_budget,
+                               work_estimator* estimator)
+    : guarded_(clock, first.identity, first.service, first.address, admission, estimator),
       outlier_detector_(clock, first.identity.name, detection),
       failures_(clock, failure_filter_options{}) {
     if (retry_budget) {
@@ -125,12 +126,14 @@
 
 target_manager::target_manager(const time_source& clock, target_manager_hooks hooks, decision_log& decisions,
                                std::chrono::milliseconds renewal_limit,
-                               std::optional<fleet_retry_budget_options> retry_budget)
+                               std::optional<fleet_retry_budget_options> retry_budget,
+                               work_estimator* estimator)
     : clock_(clock),
       hooks_(std::move(hooks)),
       decisions_(decisions),
       renewal_limit_(renewal_limit),
       retry_budget_(retry_budget),
+      estimator_(estimator),
       quarantine_(clock, quarantine_options{}),
       targets_(std::make_shared<const target_map>()) {}
 
@@ -245,7 +248,7 @@
     admission.max_wait = rules.max_wait;
     auto target = std::make_shared<managed_target>(clock_, message, admission,
                                                    outlier_detection_options_for(rules.policy, message.slots),
-                                                   retry_budget_);
+                                                   retry_budget_, estimator_);
     if (message.state == target_lifecycle::leaving || leaving_) {
         target->guarded().set_leaving();
     }
--- a/modules/node/target_manager.h
+++ b/modules/node/target_manager.h
@@ -61,7 +61,7 @@
 public:
     managed_target(const time_source& clock, const announcement& first, const admission_options& admission,
                    const outlier_detection_options& detection,
-                   const std::optional<fleet_retry_budget_options>& retry_budget);
+                   const std::optional<fleet_retry_budget_options>& retry_budget, work_estimator* estimator);
 
     guarded_target& guarded() { return guarded_; }
     target_outlier_detector& outlier_detector() { return outlier_detector_; }
@@ -122,7 +122,8 @@
 
     target_manager(const time_source& clock, target_manager_hooks hooks, decision_log& decisions,
                    std::chrono::milliseconds renewal_limit = default_renewal_limit,
-                   std::optional<fleet_retry_budget_options> retry_budget = std::nullopt);
+                   std::optional<fleet_retry_budget_options> retry_budget = std::nullopt,
+                   work_estimator* estimator = nullptr);
 
     // Commands for the control thread.
     absl::Status on_announcement(const announcement& message);
@@ -192,6 +193,7 @@
     decision_log& decisions_;
     const std::chrono::milliseconds renewal_limit_;
     const std::optional<fleet_retry_budget_options> retry_budget_;
+    work_estimator* const estimator_;  ///< Null without cost-aware routing.
     crash_quarantine quarantine_;
     rcu_cell<target_map> targets_;
     mutable std::mutex mutex_;
--- a/modules/proxy/gate.cpp
+++ b/modules/proxy/gate.cpp
@@ -10,6 +10,24 @@
 
 constexpr std::string_view no_retry_budget_reason = "the retry budget of the target is used up";
 
+run_verdict run_verdict_of(const exchange_result& result, unsigned status) {
+    constexpr unsigned first_client_error = 400;
+    constexpr unsigned first_server_error = 500;
+    switch (result.error) {
+        case error_kind::none:
+            if (status >= first_server_error) {
+                return run_verdict::failure;
+            }
+            return status < first_client_error ? run_verdict::success : run_verdict::neutral;
+        case error_kind::outcome_unknown:
+        case error_kind::answer_broken:
+        case error_kind::target_timeout:
+            return run_verdict::failure;
+        default:
+            return run_verdict::neutral;
+    }
+}
+
 /// Releases a slot on every exit path, also when the exchange is cancelled.
 class slot_guard {
 public:
@@ -76,12 +94,15 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     // Registers before the offer, because another shard may admit the ticket immediately.
     waiter_table<admission_event>::registration admission(target->waiters(), ticket, executor);
-    const offer_result offered = target->offer(ticket, {.deadline = head.deadline,
-                                                        .objective = head.objective,
-                                                        .rank = head.rank,
-                                                        .work_class = head.work_class,
-                                                        .account = head.account,
-                                                        .may_queue = head.may_queue});
+    const steady_time offered_at = clock_.now();
+    const admission_request request{.deadline = head.deadline,
+                                    .objective = head.objective,
+                                    .rank = head.rank,
+                                    .work_class = head.work_class,
+                                    .account = head.account,
+                                    .may_queue = head.may_queue};
+    const offer_result offered = target->has_backlog() ? target->offer(ticket, request, make_work_key(head))
+                                                       : target->offer(ticket, request);
     if (offered.outcome == offer_outcome::refused) {
         co_return refuse(head, target.get(), offered.error, offered.reason, offered.retry_after);
     }
@@ -93,13 +114,17 @@
         }
     }
     const gate_run started{head, *target, ticket};
-    exchange_result result = co_await run(started, body, writer, permission);
+    exchange_result result = co_await run(*target, started, body, writer, permission);
     slot.set_finished();
+    if (result.load && target->has_backlog()) {
+        result.load->gate_time =
+            std::chrono::duration_cast<std::chrono::microseconds>(clock_.now() - offered_at);
+    }
     co_return result;
 }
 
-awaitable<exchange_result> gate::run(const gate_run& started, body_reader& body, response_writer& writer,
-                                     const write_permission& permission) {
+awaitable<exchange_result> gate::run(guarded_target& target, const gate_run& started, body_reader& body,
+                                     response_writer& writer, const write_permission& permission) {
     const steady_time begin = clock_.now();
     if (begin >= started.head.deadline) {
         co_return refuse(started.head, &started.target, error_kind::deadline_expired,
@@ -121,8 +146,13 @@
     }
     const steady_time head_time = observer.head_time().value_or(clock_.now());
     hooks_.run_ended({started, result, observer.status(), head_time - begin});
+    const run_verdict verdict = run_verdict_of(result, observer.status());
+    target.on_run_end(started.ticket, verdict, head_time - begin);
     // Reported after run_ended(), so that the load report includes the outcome of this run.
-    result.load = started.target.report();
+    result.load = target.report();
+    if (target.has_backlog() && verdict == run_verdict::success) {
+        result.load->run_time = std::chrono::duration_cast<std::chrono::microseconds>(head_time - begin);
+    }
     co_return result;
 }
 
--- a/modules/proxy/gate.h
+++ b/modules/proxy/gate.h
@@ -73,8 +73,8 @@
     awaitable<exchange_result> admit_and_run(const std::shared_ptr<guarded_target>& target,
                                              const request_head& head, body_reader& body,
                                              response_writer& writer, const write_permission& permission);
-    awaitable<exchange_result> run(const gate_run& started, body_reader& body, response_writer& writer,
-                                   const write_permission& permission);
+    awaitable<exchange_result> run(guarded_target& target, const gate_run& started, body_reader& body,
+                                   response_writer& writer, const write_permission& permission);
     exchange_result refuse(const request_head& head, const guarded_target* target, error_kind error,
                            std::string_view detail, std::chrono::milliseconds retry_after) const;
 
--- a/modules/proxy/guarded_target.h
+++ b/modules/proxy/guarded_target.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -9,21 +11,27 @@
 #include "core/identity.h"
 #include "modules/proxy/waiter_table.h"
 #include "servers/admission/admission_queue.h"
+#include "servers/routing/target_backlog.h"
 
 namespace teaselpitch {
 
 /// Outcome of a queued request: empty when it is admitted, otherwise the reason why it was dropped.
 using admission_event = std::optional<dropped_ticket>;
 
-/// A target that this node guards, with its admission queue and the requests that wait in it. Thread-safe.
+/// A target that this node guards, with its admission queue and the requests that wait in it. With a work
+/// estimator, which must outlive the target, the load reports include the expected wait. Thread-safe.
 class guarded_target {
 public:
     guarded_target(const time_source& clock, target_identity identity, std::string service, endpoint address,
-                   const admission_options& options);
+                   const admission_options& options, work_estimator* estimator = nullptr);
 
     // Commands.
     /// Offers a request to the queue, and notifies the requests that were dropped in favour of it.
     offer_result offer(ticket_id ticket, const admission_request& request);
+    /// Like offer(), for a request whose expected work counts in the backlog.
+    offer_result offer(ticket_id ticket, const admission_request& request, const work_key& key);
+    /// The target has answered, or failed, after `duration`. The slot is freed by release() or cancel().
+    void on_run_end(ticket_id ticket, run_verdict verdict, std::chrono::nanoseconds duration);
     /// Releases the slot of a finished request and notifies the requests that are admitted next.
     void release(ticket_id ticket);
     /// Removes a cancelled request, whether it is queued or running.
@@ -48,15 +56,19 @@
     [[nodiscard]] const endpoint& address() const { return address_; }
     [[nodiscard]] admission_load load() const { return queue_.load(); }
     [[nodiscard]] load_report report() const;
+    /// True when the expected work of the requests is estimated.
+    [[nodiscard]] bool has_backlog() const { return backlog_.has_value(); }
 
 private:
     void notify_waiters(const admission_change& change);
+    void forget(ticket_id ticket);
 
     const target_identity identity_;
     const std::string service_;
     const endpoint address_;
     admission_queue queue_;
     waiter_table<admission_event> waiters_;
+    std::optional<target_backlog> backlog_;  ///< Empty without a work estimator.
     std::atomic<double> outlier_score_{0};
     std::atomic<bool> suspect_{false};
 };
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -30,6 +30,8 @@
         in_flight_guard;   ///< Keeps the request counted at the target until the attempt ends.
     bool suspect = false;  ///< The target is suspect, but no better one is left, so the gate must not refuse
                            ///< the request for that.
+    /// Expected time until the request is complete; empty without a choice by completion.
+    std::optional<double> expected_ms{};
 };
 
 /// Routing parameters of a request.
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -47,6 +47,8 @@
      "\"localhost\" is not a numeric IP address"},
     {"invalid port", "127.0.0.1:8080", "127.0.0.1:99999", "listen.caller",
      "\"99999\" is not a port in 0..65535"},
+    {"no boolean", "seeds:", "routing: {cost_aware: 2}\nseeds:", "routing.cost_aware",
+     "expected true or false"},
     {"list of wrong type", "[127.0.0.1:8092]", "5", "seeds", "expected a list of ADDRESS:PORT"},
     {"invalid list element", "[127.0.0.1:8092]", "[x]", "seeds[0]", "expected ADDRESS:PORT, got \"x\""},
     {"section of wrong type", "log:\n  address: 127.0.0.1:7000", "log: 5", "log", "expected a mapping"},
@@ -72,6 +74,15 @@
     BOOST_TEST(result.settings.seeds.size() == 1U);
 }
 
+// Guards against cost-aware routing in a deployment that does not ask for it.
+BOOST_AUTO_TEST_CASE(cost_aware_routing_is_off_by_default) {
+    BOOST_TEST(!parse_node_settings(valid).settings.cost_aware);
+    const settings_result enabled =
+        parse_node_settings(std::string(valid) + "\nrouting: {cost_aware: true}\n");
+    BOOST_TEST(enabled.errors.empty());
+    BOOST_TEST(enabled.settings.cost_aware);
+}
+
 // Guards against a misspelled setting that is ignored, and against an error without its key path.
 BOOST_DATA_TEST_CASE(errors_contain_key_path_and_reason, boost::unit_test::data::make(invalid_cases),
                      sample) {
