--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 31> answers{{
+constexpr std::array<error_answer, 32> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
