Follow the naming rules in the quota fleet test

Cause: clang-tidy reported private members without an underscore and two narrowing conversions.

Change: renamed members, explicit conversions.

Result: test_admission passes; scripts/lint passes on the file.

Conclusion: no change of what is tested.

--- a/tests/servers/admission/quota_fleet_test.cpp
+++ b/tests/servers/admission/quota_fleet_test.cpp
@@ -101,12 +101,12 @@
             deliver();
             for (std::size_t i = 0; i < nodes.size(); ++i) {
                 const double mean = rate_of(i) * std::chrono::duration<double>(step).count();
-                const int arrivals = mean > 0 ? std::poisson_distribution<int>(mean)(random) : 0;
+                const int arrivals = mean > 0 ? std::poisson_distribution<int>(mean)(random_) : 0;
                 for (int n = 0; nodes[i] && n < arrivals; ++n) {
                     arrive(i);
                 }
             }
-            if (++steps % 20 == 0) {
+            if (++steps_ % 20 == 0) {
                 tick();
             }
         }
@@ -140,7 +140,9 @@
                 ++within;
             }
         }
-        return within == 0 ? 1 : std::min(1.0, static_cast<double>(admitted.size()) / within);
+        return within == 0
+                   ? 1
+                   : std::min(1.0, static_cast<double>(admitted.size()) / static_cast<double>(within));
     }
 
     /// Starts a new record, which does not count on a full bucket.
@@ -188,14 +190,14 @@
                 reply.home = other;
             }
         }
-        answers.push_back(std::move(reply));
+        answers_.push_back(std::move(reply));
     }
 
     void deliver() {
         const auto is_due = [this](const answer& reply) { return reply.due <= clock.now(); };
         std::vector<answer> due;
-        std::copy_if(answers.begin(), answers.end(), std::back_inserter(due), is_due);
-        std::erase_if(answers, is_due);
+        std::copy_if(answers_.begin(), answers_.end(), std::back_inserter(due), is_due);
+        std::erase_if(answers_, is_due);
         for (const answer& reply : due) {
             if (nodes[reply.node]) {
                 finish(reply);
@@ -239,9 +241,9 @@
         }
     }
 
-    std::mt19937_64 random{20261207};
-    std::vector<answer> answers;
-    std::size_t steps = 0;
+    std::mt19937_64 random_{20261207};
+    std::vector<answer> answers_;
+    std::size_t steps_ = 0;
 };
 
 /// Rate of a node, in requests per second, after some time.
@@ -263,7 +265,11 @@
      [](std::size_t, double) { return 0.1; },
      0.97},
     {"even demand at the limit", 300, {86, 86}, [](std::size_t, double) { return 84 / 300.0; }, 0.97},
-    {"skewed demand", 100, {200, 200}, [](std::size_t i, double) { return 38.0 / (i + 1); }, 0.97},
+    {"skewed demand",
+     100,
+     {200, 200},
+     [](std::size_t i, double) { return 38.0 / static_cast<double>(i + 1); },
+     0.97},
     {"demand that moves to another zone each second",
      75,
      {86, 86},
