Split caller_connection.cpp

Change: the members that run pipelined requests move to caller_pipeline.cpp, caller_context to its own files, and to_error_result to error_reply. No behaviour changes; the functions are moved as they are.

--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -2,9 +2,6 @@
 
 #include <poll.h>
 
-#include <algorithm>
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -42,21 +39,6 @@
     return {status.message().data(), status.message().size()};
 }
 
-/// Result that is reported to the caller when the handler wrote no head.
-exchange_result to_error_result(const exchange_result& result) {
-    return result.error == error_kind::none
-               ? failed_exchange(error_kind::internal, "the handler returned without an answer")
-               : result;
-}
-
-/// The body of a request without one.
-class empty_body final : public body_reader {
-public:
-    awaitable<absl::StatusOr<std::size_t>> read_some(std::span<std::byte>) override {
-        co_return std::size_t{0};
-    }
-};
-
 /// True when the request may run before earlier requests of its connection are answered.
 bool can_overlap(const request_head& head, const http::request_header<>& fields) {
     return !head.has_body && (head.method == "GET" || head.method == "HEAD") &&
@@ -65,13 +47,6 @@
 
 }  // namespace
 
-caller_context::caller_context(caller_server_options options_in, exchange_handler& handler_in,
-                               const time_source& clock_in, std::function<std::string()> new_request_id_in)
-    : options(std::move(options_in)),
-      handler(handler_in),
-      clock(clock_in),
-      new_request_id(std::move(new_request_id_in)) {}
-
 caller_connection::caller_connection(tcp::socket socket, std::shared_ptr<caller_context> context)
     : socket_(std::move(socket)),
       context_(std::move(context)),
@@ -102,17 +77,6 @@
     }
 }
 
-void caller_connection::terminate_exchanges() {
-    terminating_ = true;
-    termination_requested_.cancel();
-    const auto running = overlapped_;
-    for (const auto& request : running) {
-        if (!request->answer_started) {
-            request->cancel.emit(net::cancellation_type::terminal);
-        }
-    }
-}
-
 awaitable<void> caller_connection::run() {
     const auto self = shared_from_this();
     bool open = true;
@@ -131,18 +95,6 @@
     co_await close_gracefully();
 }
 
-// Nothing more is read from the connection, but the caller can still close it before all answers are sent.
-awaitable<void> caller_connection::finish_overlapped() {
-    using namespace net::experimental::awaitable_operators;
-    if (!overlapped_.empty() && !closing_) {
-        const auto first = co_await (wait_for_overlapped_answers() || wait_for_caller_close());
-        if (first.index() == 1) {
-            cancel_overlapped();
-        }
-    }
-    co_await wait_for_overlapped_answers();
-}
-
 std::string_view caller_connection::buffered() const {
     return {static_cast<const char*>(buffer_.cdata().data()), buffer_.size()};
 }
@@ -254,106 +206,6 @@
     co_return open;
 }
 
-void caller_connection::start_overlapped(request_head head, connection_preferences preferences) {
-    auto request = std::make_shared<overlapped_request>();
-    request->head = std::move(head);
-    request->preferences = preferences;
-    request->position = next_position_++;
-    overlapped_.insert(request);
-    ++context_->open_exchanges;
-    net::co_spawn(socket_.get_executor(), run_overlapped(request),
-                  net::bind_cancellation_slot(request->cancel.slot(), [self = shared_from_this(),
-                                                                       request](const std::exception_ptr&) {
-                      self->remove_overlapped(request);
-                  }));
-}
-
-awaitable<void> caller_connection::run_overlapped(std::shared_ptr<overlapped_request> request) {
-    empty_body body;
-    caller_writer_settings settings = writer_settings(request->head, request->preferences);
-    settings.wait_for_earlier_answers = [this, request] {
-        request->answer_started = true;
-        return wait_for_earlier_answers(request->position);
-    };
-    caller_writer writer(socket_, write_deadline_, settings);
-    exchange_result result = failed_exchange(error_kind::cancelled, "the caller closed the connection");
-    co_await run_handler(request->head, body, writer, result);
-    // From here on, closing_ ends the coroutine. A cancelled state would make co_spawn throw when the
-    // coroutine ends.
-    co_await net::this_coro::reset_cancellation_state(net::disable_cancellation());
-    request->answer_started = true;
-    if (!closing_) {
-        const exchange_result final_result = replace_if_terminated(std::move(result));
-        co_await complete_overlapped_answer(*request, writer, final_result);
-    }
-}
-
-awaitable<void> caller_connection::complete_overlapped_answer(const overlapped_request& request,
-                                                              caller_writer& writer,
-                                                              const exchange_result& result) {
-    co_await wait_for_earlier_answers(request.position);
-    bool open = false;
-    if (closing_) {
-        co_return;
-    }
-    if (writer.finished()) {
-        open = writer.keep_alive();
-    } else if (writer.started()) {
-        writer.abort();
-    } else {
-        const exchange_result failure = to_error_result(result);
-        const bool keep_open = request.preferences.keep_alive && !should_close_after_answer();
-        open = co_await send_error(failure, request.head, request.preferences, !keep_open) && keep_open;
-    }
-    if (!open) {
-        stop_reading();
-        cancel_overlapped();
-    }
-}
-
-void caller_connection::remove_overlapped(const std::shared_ptr<overlapped_request>& request) {
-    overlapped_.erase(request);
-    --context_->open_exchanges;
-    answered_before_ = std::max(answered_before_, request->position + 1);
-    overlapped_changed_.cancel();
-    if (waiting_for_request_ && overlapped_.empty() && !closing_) {
-        read_deadline_.arm(context_->draining ? context_->options.drain_idle_grace
-                                              : context_->options.limits.idle_timeout);
-    }
-}
-
-void caller_connection::cancel_overlapped() {
-    closing_ = true;
-    const auto running = overlapped_;
-    for (const auto& request : running) {
-        request->cancel.emit(net::cancellation_type::terminal);
-    }
-    overlapped_changed_.cancel();
-}
-
-void caller_connection::stop_reading() {
-    closing_ = true;
-    // The last answer has been written, so only the read of the next header can be pending.
-    error_code ignored;
-    socket_.cancel(ignored);
-}
-
-awaitable<void> caller_connection::wait_for_earlier_answers(std::uint64_t position) {
-    while (answered_before_ < position && !closing_) {
-        co_await overlapped_changed_.async_wait(tuple_awaitable);
-    }
-}
-
-awaitable<void> caller_connection::wait_for_overlapped_answers() {
-    while (!overlapped_.empty()) {
-        co_await overlapped_changed_.async_wait(tuple_awaitable);
-        const net::cancellation_state state = co_await net::this_coro::cancellation_state;
-        if (state.cancelled() != net::cancellation_type::none) {
-            co_return;
-        }
-    }
-}
-
 caller_writer_settings caller_connection::writer_settings(const request_head& head,
                                                           const connection_preferences& preferences) const {
     caller_writer_settings settings;
@@ -415,11 +267,6 @@
     co_return replace_if_terminated(std::move(result));
 }
 
-// Closing the connection would also discard later requests, some of which may already have run.
-bool caller_connection::should_close_after_answer() const {
-    return context_->draining && overlapped_.size() <= 1;
-}
-
 // Completes when the request must be terminated. A request whose answer has been started is not terminated.
 awaitable<void> caller_connection::wait_for_termination(const caller_writer& writer) {
     while (!terminating_ || writer.started()) {
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -1,43 +1,24 @@
 #pragma once
 
-#include <atomic>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
-#include "core/clock.h"
 #include "drivers/http/asio_types.h"
 #include "drivers/http/caller_body.h"
-#include "drivers/http/caller_server.h"
+#include "drivers/http/caller_context.h"
 #include "drivers/http/caller_writer.h"
 #include "drivers/http/io_deadline.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
 
-class caller_connection;
-
-/// State that all connections of one caller_server share.
-struct caller_context {
-    caller_context(caller_server_options options_in, exchange_handler& handler_in,
-                   const time_source& clock_in, std::function<std::string()> new_request_id_in);
-
-    caller_server_options options;
-    exchange_handler& handler;
-    const time_source& clock;
-    std::function<std::string()> new_request_id;
-    std::set<std::shared_ptr<caller_connection>> connections;
-    std::atomic<std::size_t> open_exchanges = 0;
-    bool draining = false;
-};
-
 /// One caller's connection. GET and HEAD requests without a body overlap: the next request is read while
 /// earlier ones run, and the answers are sent in the order of the requests. All other requests run one at a
 /// time.
--- a/drivers/http/error_reply.cpp
+++ b/drivers/http/error_reply.cpp
@@ -54,6 +54,12 @@
     return boost::json::serialize(boost::json::string(ascii));
 }
 
+exchange_result to_error_result(const exchange_result& result) {
+    return result.error == error_kind::none
+               ? failed_exchange(error_kind::internal, "the handler returned without an answer")
+               : result;
+}
+
 std::string format_error_reply(const exchange_result& result, const error_reply_context& context) {
     static const http_dialect default_dialect;
     const http_dialect& dialect = context.dialect == nullptr ? default_dialect : *context.dialect;
--- a/drivers/http/error_reply.h
+++ b/drivers/http/error_reply.h
@@ -21,6 +21,9 @@
 /// Formats text as a quoted JSON string; bytes that are not ASCII are replaced by question marks.
 std::string json_quote(std::string_view text);
 
+/// Returns the result that is reported to the caller when the handler wrote no head.
+exchange_result to_error_result(const exchange_result& result);
+
 /// Formats the HTTP/1.1 answer to a failed exchange, with the values of get_error_answer().
 std::string format_error_reply(const exchange_result& result, const error_reply_context& context);
 
