Bound the memory and descriptors that a node spends on its callers

Cause: bodies were read ahead to 512 KB each before the request was routed, and any number of callers could hold them, unread answers, pipelined heads and connections until their timeouts.

Change: with limits.memory_mb the process has one budget (two fifths of the memory above 32 MB). A body reserves what is read ahead before its first byte is read; above half of the budget it waits at most 1.5 s, above three quarters it is refused at once, and above all of it every request is: 503 memory_limited, not run, Retry-After, connection closed with its body unread. Heads, held answers and unsent bytes are charged. Stalled bodies are closed while others wait, otherwise the connection that holds the most for longest; never one whose request may have been sent. Streams between nodes get a window derived from the budget, kernel buffers 32 KB, a write 10 s. With limits.max_fds two fifths of the descriptors are for callers; the longest idle connection is closed for a new one. Without the settings nothing changes.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 30> answers{{
+constexpr std::array<error_answer, 31> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
@@ -70,6 +70,8 @@
      "The target refused the request without running it."},
     {error_kind::retry_limited, "repeat_limited", 503, not_run, retry_advice::now, 1s,
      "The fleet's retry budget of the target is exhausted."},
+    {error_kind::memory_limited, "memory_limited", 503, not_run, retry_advice::later, 2s,
+     "The node has no memory for the request."},
     {error_kind::internal, "internal", 500, unknown, retry_advice::idempotent, 0s,
      "An internal error occurred on the node."},
 }};
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -46,6 +46,7 @@
     wrong_target,
     target_refused,
     retry_limited,
+    memory_limited,
     internal,
 };
 
--- a/drivers/http/caller_body.cpp
+++ b/drivers/http/caller_body.cpp
@@ -53,9 +53,26 @@
         }
     }
     read_in_progress_ = false;
+    report_bytes(buffer.size() - body.size);
     co_return buffer.size() - body.size;
 }
 
+void caller_body::report_bytes(std::size_t count) {
+    // A caller that sends single bytes makes no progress: 4 KB take 3 ms on the slowest link (10 Mbit/s).
+    constexpr std::uint64_t progress_bytes = 4'096;
+    received_ += count;
+    if (account_ == nullptr) {
+        return;
+    }
+    if (received_ - reported_until_ >= progress_bytes) {
+        reported_until_ = received_;
+        account_->note_progress();
+    }
+    if (is_complete() || received_ >= read_ahead_) {
+        account_->set_sent(true);
+    }
+}
+
 absl::Status caller_body::status_from_error(error_code error) {
     if (deadline_.expired()) {
         return absl::DeadlineExceededError("the caller sent no further body bytes before the timeout");
--- a/drivers/http/caller_body.h
+++ b/drivers/http/caller_body.h
@@ -10,6 +10,7 @@
 #include "absl/status/status.h"
 #include "drivers/http/asio_types.h"
 #include "drivers/http/io_deadline.h"
+#include "servers/admission/memory_account.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -30,6 +31,13 @@
     /// Makes the first read from the socket send 100 Continue.
     void expect_continue() { continue_pending_ = true; }
 
+    /// Reports progress to the account, and that the request may have been sent once its first read_ahead
+    /// bytes or the whole body have been read.
+    void report_to(memory_account& account, std::size_t read_ahead) {
+        account_ = &account;
+        read_ahead_ = read_ahead;
+    }
+
     /// Reads the start of the body, so that an incomplete or malformed one is rejected before it reaches the
     /// handler: a body with Content-Length completely, or the first chunk, if it does not exceed the limit in
     /// bytes.
@@ -48,6 +56,7 @@
 private:
     awaitable<absl::StatusOr<std::size_t>> read_from_socket(std::span<std::byte> buffer);
     bool send_continue();
+    void report_bytes(std::size_t count);
     absl::Status status_from_error(error_code error);
 
     tcp::socket& socket_;
@@ -60,6 +69,10 @@
     absl::Status status_;
     std::function<void(std::uint64_t, beast::string_view, error_code&)> chunk_header_callback_;
     std::uint64_t announced_chunk_bytes_ = 0;  // Sum of the chunk sizes received so far.
+    memory_account* account_ = nullptr;
+    std::size_t read_ahead_ = 0;
+    std::uint64_t received_ = 0;        // Decoded body bytes.
+    std::uint64_t reported_until_ = 0;  // Value of received_ at the last report of progress.
     bool continue_pending_ = false;
     bool read_in_progress_ = false;  // Remains set when a read was cancelled before it completed.
 };
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -20,6 +21,8 @@
 /// Longer bodies are not read only to keep the connection open.
 constexpr std::size_t discard_limit_bytes = std::size_t{64} * 1024;
 constexpr std::chrono::milliseconds caller_poll_interval{20};
+/// Memory of an idle connection: its coroutine, timers, account and read buffer.
+constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
 /// Time for the caller to receive the last answer before the socket is closed.
 constexpr std::chrono::milliseconds linger_timeout{1'000};
 constexpr std::size_t max_linger_bytes = std::size_t{1024} * 1024;
@@ -51,6 +54,8 @@
     : socket_(std::move(socket)),
       context_(std::move(context)),
       buffer_(max_unparsed_bytes),
+      account_(context_->options.memory, context_.get()),
+      connection_charge_(&account_),
       read_deadline_(socket_.get_executor(),
                      [this] {
                          error_code ignored;
@@ -58,9 +63,12 @@
                      }),
       write_deadline_(socket_.get_executor(), [this] { reset(); }),
       overlapped_changed_(socket_.get_executor(), net::steady_timer::time_point::max()),
-      termination_requested_(socket_.get_executor(), net::steady_timer::time_point::max()) {}
+      termination_requested_(socket_.get_executor(), net::steady_timer::time_point::max()) {
+    connection_charge_.set(connection_bytes);
+}
 
 void caller_connection::close() {
+    waiting_for_request_ = false;
     error_code ignored;
     socket_.close(ignored);
     read_deadline_.disarm();
@@ -71,6 +79,12 @@
     reset_socket(socket_);
 }
 
+void caller_connection::end_for_memory() {
+    ended_for_memory_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_receive, ignored);
+}
+
 void caller_connection::begin_drain() {
     if (waiting_for_request_ && overlapped_.empty()) {
         read_deadline_.arm(context_->options.drain_idle_grace);
@@ -133,6 +147,8 @@
             read_deadline_.arm(options.limits.header_timeout);
         }
         waiting_for_request_ = size == 0;
+        idle_since_ = context_->clock.now();
+        connection_charge_.set(connection_bytes + size);
         auto [error, count] =
             co_await socket_.async_read_some(buffer_.prepare(read_chunk_bytes), tuple_awaitable);
         waiting_for_request_ = false;
@@ -148,6 +164,10 @@
     if (closing_ || buffered().empty() || (error != net::error::eof && !read_deadline_.expired())) {
         co_return header_outcome::closed;
     }
+    if (ended_for_memory_) {
+        co_await reject_request(error_kind::memory_limited, "the memory of the unfinished header is needed");
+        co_return header_outcome::refused;
+    }
     co_await reject_request(error_kind::malformed_request,
                             read_deadline_.expired() ? "the header was not complete before the timeout"
                                                      : "the connection ended before the end of the header");
@@ -183,14 +203,17 @@
         head->request_id = context_->new_request_id();
     }
     preferences_ = {.version = parser.get().version(), .keep_alive = parser.keep_alive()};
+    if (account_.mark() == memory_mark::critical) {
+        co_return co_await refuse_for_memory(*head, "the node holds as many bytes as it may");
+    }
     if (can_overlap(*head, parser.get())) {
-        while (overlapped_.size() >= context_->options.max_overlapped && !closing_) {
-            co_await overlapped_changed_.async_wait(tuple_awaitable);
+        if (!co_await wait_for_slot()) {
+            co_return false;
         }
         start_overlapped(*std::move(head), preferences_);
         co_return preferences_.keep_alive;
     }
-    co_await wait_for_overlapped_answers();
+    co_await finish_overlapped();
     if (closing_) {
         co_return false;
     }
@@ -207,7 +230,7 @@
 }
 
 caller_writer_settings caller_connection::writer_settings(const request_head& head,
-                                                          const connection_preferences& preferences) const {
+                                                          const connection_preferences& preferences) {
     caller_writer_settings settings;
     settings.request_id = head.request_id;
     settings.node = context_->options.node;
@@ -216,18 +239,28 @@
     settings.keep_alive = preferences.keep_alive;
     settings.should_close = [this] { return should_close_after_answer(); };
     settings.timeout = context_->options.write_timeout;
+    settings.account = &account_;
     settings.fleet_fields = context_->options.dialect.adds_fleet_fields_to_answers;
     return settings;
 }
 
 awaitable<bool> caller_connection::run_request(parser& parser, const request_head& head) {
     caller_body body(socket_, buffer_, parser, read_deadline_, context_->options.body_timeout);
+    memory_charge body_charge(&account_);
+    account_.set_sent(!head.has_body);
     if (head.has_body) {
+        if (!co_await reserve_body(head, body_charge)) {
+            co_return co_await refuse_for_memory(head, "the bodies of other requests take the memory");
+        }
+        body.report_to(account_, context_->options.read_ahead_bytes);
         const std::string_view expect = parser.get()[http::field::expect];
         if (!expect.empty() && preferences_.version >= 11) {
             body.expect_continue();
         }
         const absl::Status status = co_await body.prefetch(prefetch_limit_bytes);
+        if (!status.ok() && ended_for_memory_) {
+            co_return co_await refuse_for_memory(head, "the body made no progress while others waited");
+        }
         if (!status.ok()) {
             co_await reject_request(body_error_kind(status), status_message(status));
             co_return false;
@@ -241,12 +274,15 @@
         result.error = error_kind::malformed_request;
         result.detail = "the caller closed the connection before the body was read completely";
     }
+    account_.set_sent(true);  // The answer is sent without interruption.
+    result = replace_if_ended_for_memory(std::move(result));
     const bool open = co_await finish_request(result, head, body, writer);
+    account_.set_sent(false);
     co_return open && !caller_closed;
 }
 
 awaitable<void> caller_connection::run_handler(const request_head& head, body_reader& body,
-                                               caller_writer& writer, exchange_result& result) {
+                                               response_writer& writer, exchange_result& result) {
     try {
         result = co_await context_->handler.exchange(head, body, writer);
     } catch (const boost::system::system_error& error) {
@@ -278,6 +314,56 @@
     }
 }
 
+exchange_result caller_connection::replace_if_ended_for_memory(exchange_result result) const {
+    const bool not_run = result.execution == execution_state::not_run;
+    if (ended_for_memory_ && result.error != error_kind::none && not_run) {
+        return failed_exchange(error_kind::memory_limited, "the body made no progress while others waited");
+    }
+    return result;
+}
+
+// Waits for the memory of the part of the body that the handler reads ahead; the rest is streamed. Returns
+// false when the request must be refused.
+awaitable<bool> caller_connection::reserve_body(const request_head& head, memory_charge& charge) {
+    const caller_server_options& options = context_->options;
+    if (options.memory == nullptr) {
+        co_return true;
+    }
+    const auto bytes = static_cast<std::size_t>(std::min<std::uint64_t>(
+        head.content_length.value_or(options.read_ahead_bytes), options.read_ahead_bytes));
+    // A small body takes about as much as a head, so it needs not wait behind large ones.
+    const memory_mark mark = bytes <= prefetch_limit_bytes ? memory_mark::high : memory_mark::low;
+    const steady_time end = context_->clock.now() + options.memory_wait;
+    std::optional<memory_waiter> waiter;
+    net::steady_timer timer(socket_.get_executor());
+    while (!charge.try_add(bytes, mark)) {
+        if (account_.mark() >= memory_mark::high || context_->clock.now() >= end ||
+            is_closed_by_caller(socket_)) {
+            co_return false;
+        }
+        if (!waiter) {
+            waiter.emplace(*options.memory);
+        }
+        account_.note_progress();  // It is not the caller that makes this one wait.
+        timer.expires_after(caller_poll_interval);
+        co_await timer.async_wait(tuple_awaitable);
+    }
+    account_.note_progress();
+    co_return true;
+}
+
+awaitable<bool> caller_connection::refuse_for_memory(const request_head& head, std::string_view detail) {
+    const exchange_result result = failed_exchange(error_kind::memory_limited, detail);
+    if (context_->options.memory != nullptr) {
+        context_->options.memory->count(memory_action::request_refused);
+    }
+    co_await finish_overlapped();
+    if (!closing_) {
+        co_await send_error(result, head, preferences_, true);
+    }
+    co_return false;
+}
+
 exchange_result caller_connection::replace_if_terminated(exchange_result result) const {
     if (terminating_ && result.error == error_kind::cancelled) {
         return failed_exchange(error_kind::target_timeout, "the node is stopping before the target answered");
@@ -286,10 +372,12 @@
 }
 
 awaitable<void> caller_connection::wait_for_caller_close() {
+    // end_for_memory() looks like a close of the caller, but a request that is complete by then goes on.
+    const auto closed = [this] { return !ended_for_memory_ && is_closed_by_caller(socket_); };
     net::steady_timer timer(socket_.get_executor());
-    while (!is_closed_by_caller(socket_)) {
+    while (!closed()) {
         auto [error] = co_await socket_.async_wait(tcp::socket::wait_read, tuple_awaitable);
-        if (error || is_closed_by_caller(socket_)) {
+        if (error || closed()) {
             break;
         }
         // Unread bytes of the body or of a pipelined request keep the socket readable, so the close is polled
@@ -337,7 +425,7 @@
 awaitable<void> caller_connection::reject_request(error_kind kind, std::string_view detail) {
     read_deadline_.disarm();
     const std::string reason(detail);
-    co_await wait_for_overlapped_answers();
+    co_await finish_overlapped();
     if (closing_) {
         co_return;
     }
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -15,6 +15,7 @@
 #include "drivers/http/caller_context.h"
 #include "drivers/http/caller_writer.h"
 #include "drivers/http/io_deadline.h"
+#include "servers/admission/memory_account.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -36,11 +37,19 @@
     /// Answers that are ready are sent.
     void terminate_exchanges();
 
+    /// Ends the reading of a request that has not been sent to a target, because its memory is needed.
+    void end_for_memory();
+
     void close();
 
     /// Closes the socket with a TCP reset.
     void reset();
 
+    // Queries.
+    [[nodiscard]] memory_budget::holder_id account_id() const { return account_.id(); }
+    [[nodiscard]] bool is_idle() const { return waiting_for_request_ && overlapped_.empty(); }
+    [[nodiscard]] steady_time idle_since() const { return idle_since_; }
+
 private:
     using parser = http::request_parser<http::buffer_body>;
 
@@ -60,6 +69,7 @@
         /// The answer is being sent, or is ready and waits for earlier answers.
         bool answer_started = false;
         net::cancellation_signal cancel;
+        memory_charge charge;  ///< Of the head.
     };
 
     [[nodiscard]] std::string_view buffered() const;
@@ -75,14 +85,20 @@
     void remove_overlapped(const std::shared_ptr<overlapped_request>& request);
     void cancel_overlapped();
     void stop_reading();
+    [[nodiscard]] bool has_free_slot() const;
+    awaitable<void> wait_until_slot_is_free();
+    awaitable<bool> wait_for_slot();
     awaitable<void> wait_for_earlier_answers(std::uint64_t position);
     awaitable<void> wait_for_overlapped_answers();
     awaitable<void> finish_overlapped();
 
     awaitable<bool> run_request(parser& parser, const request_head& head);
+    awaitable<bool> reserve_body(const request_head& head, memory_charge& charge);
+    awaitable<bool> refuse_for_memory(const request_head& head, std::string_view detail);
+    [[nodiscard]] exchange_result replace_if_ended_for_memory(exchange_result result) const;
     awaitable<exchange_result> run_exchange(const request_head& head, caller_body& body,
                                             caller_writer& writer, bool& caller_closed);
-    awaitable<void> run_handler(const request_head& head, body_reader& body, caller_writer& writer,
+    awaitable<void> run_handler(const request_head& head, body_reader& body, response_writer& writer,
                                 exchange_result& result);
     awaitable<void> wait_for_caller_close();
     awaitable<void> wait_for_termination(const caller_writer& writer);
@@ -91,7 +107,7 @@
     awaitable<bool> finish_request(const exchange_result& result, const request_head& head, caller_body& body,
                                    caller_writer& writer);
     [[nodiscard]] caller_writer_settings writer_settings(const request_head& head,
-                                                         const connection_preferences& preferences) const;
+                                                         const connection_preferences& preferences);
     awaitable<bool> send_error(const exchange_result& result, const request_head& head,
                                const connection_preferences& preferences, bool close);
     awaitable<void> reject_request(error_kind kind, std::string_view detail);
@@ -100,11 +116,17 @@
     tcp::socket socket_;
     std::shared_ptr<caller_context> context_;
     beast::flat_buffer buffer_;
+    memory_account account_;
+    memory_charge connection_charge_;  ///< The connection itself and what is read of the next head.
     io_deadline read_deadline_;
     io_deadline write_deadline_;
     connection_preferences preferences_;  ///< Properties of the latest request.
     bool waiting_for_request_ = false;    ///< No byte of the next request has been received.
-    bool terminating_ = false;            ///< Requests without an answer are being terminated.
+    steady_time idle_since_;              ///< Valid while waiting_for_request_ is set.
+    bool ended_for_memory_ = false;
+    /// An incomplete answer is being sent. A further request could lose its answer if that one broke off.
+    bool streaming_answer_ = false;
+    bool terminating_ = false;  ///< Requests without an answer are being terminated.
     /// The last answer was sent or the caller has disconnected; nothing more is written.
     bool closing_ = false;
     std::set<std::shared_ptr<overlapped_request>> overlapped_;
--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -22,6 +22,8 @@
     awaitable<void> accept_loop();
     void start_connection(tcp::socket socket);
     void stop_accepting();
+    static awaitable<void> watch_memory(std::weak_ptr<state> weak, net::any_io_executor executor);
+    bool make_room();
 
     net::any_io_executor executor;
     std::shared_ptr<caller_context> context;
@@ -53,8 +55,50 @@
     }
 }
 
+// Closes the connections that the memory budget chooses.
+awaitable<void> caller_server::state::watch_memory(std::weak_ptr<state> weak, net::any_io_executor executor) {
+    constexpr std::chrono::milliseconds interval{50};
+    net::steady_timer timer(executor);
+    while (const auto self = weak.lock()) {
+        const auto open = self->context->connections;
+        while (const auto victim = self->context->options.memory->take_victim(self->context.get())) {
+            for (const auto& connection : open) {
+                if (connection->account_id() == *victim) {
+                    connection->end_for_memory();
+                }
+            }
+        }
+        timer.expires_after(interval);
+        co_await timer.async_wait(tuple_awaitable);
+    }
+}
+
+// Closes the connection that has been idle for longest; false when none is idle.
+bool caller_server::state::make_room() {
+    std::shared_ptr<caller_connection> longest;
+    for (const auto& connection : context->connections) {
+        if (connection->is_idle() && (!longest || connection->idle_since() < longest->idle_since())) {
+            longest = connection;
+        }
+    }
+    if (longest) {
+        longest->close();
+    }
+    return longest != nullptr;
+}
+
 void caller_server::state::start_connection(tcp::socket socket) {
     error_code ignored;
+    connection_share* share = context->options.connections;
+    if (share != nullptr && !share->open()) {
+        if (context->options.memory != nullptr) {
+            context->options.memory->count(memory_action::connection_closed);
+        }
+        if (!make_room()) {
+            share->close();
+            return;
+        }
+    }
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     const auto connection = std::make_shared<caller_connection>(std::move(socket), context);
@@ -63,6 +107,9 @@
                   [self = shared_from_this(), connection](const std::exception_ptr&) {
                       connection->close();
                       self->context->connections.erase(connection);
+                      if (self->context->options.connections != nullptr) {
+                          self->context->options.connections->close();
+                      }
                       if (self->context->connections.empty()) {
                           self->all_closed.cancel();
                       }
@@ -108,9 +155,18 @@
     if (!acceptor.ok()) {
         return acceptor.status();
     }
+    if (options.socket_buffer_bytes > 0) {
+        // Accepted connections inherit the sizes of the listener.
+        error_code ignored;
+        acceptor->set_option(tcp::socket::receive_buffer_size(options.socket_buffer_bytes), ignored);
+        acceptor->set_option(tcp::socket::send_buffer_size(options.socket_buffer_bytes), ignored);
+    }
     const endpoint bound{options.listen.address, acceptor->local_endpoint().port()};
     state_->acceptor.emplace(*std::move(acceptor));
     net::co_spawn(state_->executor, state_->accept_loop(), net::detached);
+    if (options.memory != nullptr) {
+        net::co_spawn(state_->executor, state::watch_memory(state_, state_->executor), net::detached);
+    }
     return bound;
 }
 
--- a/drivers/http/caller_server.h
+++ b/drivers/http/caller_server.h
@@ -11,6 +11,8 @@
 #include "absl/status/statusor.h"
 #include "core/clock.h"
 #include "core/identity.h"
+#include "servers/admission/connection_share.h"
+#include "servers/admission/memory_budget.h"
 #include "servers/exchange/caller_limits.h"
 #include "servers/exchange/exchange.h"
 #include "servers/exchange/http_dialect.h"
@@ -30,6 +32,18 @@
     std::chrono::milliseconds max_timeout{3'600'000};  ///< Default and upper limit of a request's timeout.
     std::chrono::milliseconds drain_idle_grace{500};   ///< For this long, a draining server still accepts one
                                                        ///< request on an idle connection.
+    /// Longer answers to pipelined requests are streamed; an answer up to this size can be replaced by an
+    /// error when it breaks off. Eight of them fit into the smallest budget.
+    std::size_t max_held_answer_bytes = std::size_t{1024} * 1024;
+    memory_budget* memory = nullptr;          ///< Account of the process; null without a bound.
+    connection_share* connections = nullptr;  ///< Bound of the process; null without one.
+    /// The handler sends nothing to a target before it has read this much of a body or its end.
+    std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+    /// Size of the kernel's buffers of a connection, each way; 0 leaves it to the system.
+    int socket_buffer_bytes = 0;
+    /// Time that a body waits for memory before its request is refused. The stalled bodies that hold the
+    /// memory are closed within it.
+    std::chrono::milliseconds memory_wait{1'500};
 };
 
 /// Accepts callers' connections over HTTP/1.1 and passes each request to a handler. All calls run on the
--- a/drivers/http/caller_writer.cpp
+++ b/drivers/http/caller_writer.cpp
@@ -186,6 +186,8 @@
                                             std::string_view suffix) {
     const std::array<net::const_buffer, 3> buffers{net::buffer(prefix), net::buffer(data.data(), data.size()),
                                                    net::buffer(suffix)};
+    memory_charge unsent(settings_.account);
+    unsent.set(prefix.size() + data.size());
     deadline_.arm(settings_.timeout);
     auto [error, size] = co_await net::async_write(socket_, buffers, tuple_awaitable);
     deadline_.disarm();
--- a/drivers/http/caller_writer.h
+++ b/drivers/http/caller_writer.h
@@ -12,6 +12,7 @@
 #include "absl/status/status.h"
 #include "drivers/http/asio_types.h"
 #include "drivers/http/io_deadline.h"
+#include "servers/admission/memory_account.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -30,6 +31,7 @@
     /// Completes when the answers to earlier requests of the connection have been sent; null when there are
     /// none.
     std::function<awaitable<void>()> wait_for_earlier_answers = nullptr;
+    memory_account* account = nullptr;  ///< Charged with the bytes of each write while it lasts.
 };
 
 /// Writes one answer to a caller's connection. The last byte of an answer with Content-Length is sent only by
--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -12,6 +12,12 @@
 constexpr std::int64_t max_threads = 64;
 constexpr integer_range header_bytes_range{1024, 1024 * 1024};
 constexpr integer_range body_bytes_range{0, std::int64_t{1} << 40};
+/// A node takes 14 MB when it is idle and may hold 512 KB of each body, so less than 48 MB is a mistake.
+constexpr integer_range memory_mb_range{0, 1'000'000};
+constexpr std::uint64_t min_memory_mb = 48;
+/// Below 64, the descriptors that a node needs for itself leave none for callers.
+constexpr integer_range max_fds_range{0, 10'000'000};
+constexpr std::size_t min_max_fds = 64;
 constexpr integer_range short_duration_range_ms{1, 60'000};
 constexpr integer_range long_duration_range_ms{1, 24 * 3'600'000};
 
@@ -109,13 +115,23 @@
     out.seeds = root.endpoints("seeds");
 }
 
-void read_limits(settings_section& root, node_settings& out) {
+void read_limits(settings_section& root, std::vector<settings_error>& errors, node_settings& out) {
     settings_section limits = root.section("limits");
     out.max_header_bytes =
         static_cast<std::size_t>(limits.integer_or("header_bytes", 16 * 1024, header_bytes_range));
     out.max_body_bytes =
         static_cast<std::uint64_t>(limits.integer_or("body_bytes", std::int64_t{1} << 30, body_bytes_range));
+    out.memory_mb = static_cast<std::uint64_t>(limits.integer_or("memory_mb", 0, memory_mb_range));
+    out.max_fds = static_cast<std::size_t>(limits.integer_or("max_fds", 0, max_fds_range));
     limits.reject_unknown_keys();
+    if (out.memory_mb > 0 && out.memory_mb < min_memory_mb) {
+        errors.push_back(
+            {"limits.memory_mb", "must be 0 (no bound) or at least " + std::to_string(min_memory_mb)});
+    }
+    if (out.max_fds > 0 && out.max_fds < min_max_fds) {
+        errors.push_back(
+            {"limits.max_fds", "must be 0 (no bound) or at least " + std::to_string(min_max_fds)});
+    }
 }
 
 void read_timeouts(settings_section& root, node_settings& out) {
@@ -159,7 +175,7 @@
     }
     read_local_target(root, result.settings);
     read_routing(root, result.settings);
-    read_limits(root, result.settings);
+    read_limits(root, result.errors, result.settings);
     read_timeouts(root, result.settings);
     read_claims(root, result.errors, result.settings);
     read_log_level(root, result.settings);
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -62,6 +62,8 @@
 
     std::size_t max_header_bytes = 0;
     std::uint64_t max_body_bytes = 0;
+    std::uint64_t memory_mb = 0;  ///< Memory of the machine, in millions of bytes; 0 sets no bound.
+    std::size_t max_fds = 0;      ///< Limit of open descriptors of the process; 0 sets no bound.
 
     std::chrono::milliseconds default_timeout{};  ///< For requests whose route and caller set no timeout.
     std::chrono::milliseconds drain_timeout{};
--- a/drivers/settings/settings_file.cpp
+++ b/drivers/settings/settings_file.cpp
@@ -50,6 +50,8 @@
     compare(before.log_address == after.log_address, "log.address");
     compare(before.seeds == after.seeds, "seeds");
     compare(before.drain_timeout == after.drain_timeout, "times.drain_timeout_ms");
+    compare(before.memory_mb == after.memory_mb, "limits.memory_mb");
+    compare(before.max_fds == after.max_fds, "limits.max_fds");
     compare(before.store == after.store, "store");
     compare(before.local_target == after.local_target, "beside");
     compare(before.log_level == after.log_level, "log_level");
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -44,6 +44,7 @@
       clock(clock_in),
       self(std::move(self_in)),
       post_to_control_thread(std::move(post_to_control_thread_in)),
+      resources(settings, clock),
       decisions(clock, records_per_subject),
       outcomes(clock),
       path_detector(clock, path_fault_options_for(detection_policy::balanced)),
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -12,6 +12,7 @@
 #include "core/rcu_cell.h"
 #include "drivers/settings/node_settings.h"
 #include "modules/node/account_limits.h"
+#include "modules/node/caller_resources.h"
 #include "modules/node/node_metrics.h"
 #include "modules/node/routing_table.h"
 #include "modules/node/service_directory.h"
@@ -50,6 +51,7 @@
     /// Runs a function on the control thread.
     const std::function<void(std::function<void()>)> post_to_control_thread;
 
+    caller_resources resources;
     decision_log decisions;
     outcome_counters outcomes;
     node_metrics metrics;
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -58,7 +58,15 @@
       live_claims_(register_gauge(registry_, "teaselpitch_claims", "Idempotency keys that are remembered")),
       claim_bytes_(register_gauge(registry_, "teaselpitch_claim_bytes", "Memory of the idempotency keys")),
       dropped_events_(
-          register_gauge(registry_, "teaselpitch_dropped_log_lines", "Log lines that were not written")) {}
+          register_gauge(registry_, "teaselpitch_dropped_log_lines", "Log lines that were not written")),
+      caller_memory_(register_gauge(registry_, "teaselpitch_caller_memory_bytes",
+                                    "Bytes held for callers, as counted by the memory budget")),
+      caller_connections_(
+          register_gauge(registry_, "teaselpitch_caller_connections", "Open connections of callers")),
+      pressure_actions_(prometheus::BuildGauge()
+                            .Name("teaselpitch_pressure_actions_total")
+                            .Help("Refusals and closes because of a lack of memory or descriptors")
+                            .Register(registry_)) {}
 
 void node_metrics::count_request(std::string_view service, error_kind error,
                                  std::chrono::nanoseconds latency) {
@@ -108,6 +116,18 @@
     dropped_events_.Set(static_cast<double>(lines));
 }
 
+void node_metrics::set_caller_memory(std::size_t bytes) {
+    caller_memory_.Set(static_cast<double>(bytes));
+}
+
+void node_metrics::set_caller_connections(std::size_t count) {
+    caller_connections_.Set(static_cast<double>(count));
+}
+
+void node_metrics::set_pressure_actions(std::string_view action, std::uint64_t count) {
+    pressure_actions_.Add({{"action", std::string(action)}}).Set(static_cast<double>(count));
+}
+
 std::string node_metrics::serialize() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -32,6 +32,10 @@
     void set_log_available(bool available);
     void set_claims(std::size_t live, std::size_t bytes);
     void set_dropped_events(std::uint64_t lines);
+    void set_caller_memory(std::size_t bytes);
+    void set_caller_connections(std::size_t count);
+    /// Actions against callers because of a lack of memory or descriptors, since the start.
+    void set_pressure_actions(std::string_view action, std::uint64_t count);
 
     // Queries.
     [[nodiscard]] std::string serialize() const;
@@ -52,6 +56,9 @@
     prometheus::Gauge& live_claims_;
     prometheus::Gauge& claim_bytes_;
     prometheus::Gauge& dropped_events_;
+    prometheus::Gauge& caller_memory_;
+    prometheus::Gauge& caller_connections_;
+    prometheus::Family<prometheus::Gauge>& pressure_actions_;
 };
 
 }  // namespace teaselpitch
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -10,30 +10,42 @@
 namespace teaselpitch {
 namespace {
 
-caller_server_options caller_options(const node_settings& settings, const http_dialect& dialect) {
+caller_server_options caller_options(node_context& context) {
+    const node_settings& settings = context.settings;
     caller_server_options options;
     options.listen = settings.caller_listen;
     options.reuse_port = true;
     options.node = settings.name;
     options.limits.max_header_bytes = static_cast<std::uint32_t>(settings.max_header_bytes);
     options.limits.max_body_bytes = settings.max_body_bytes;
-    options.dialect = dialect;
+    options.dialect = context.dialect;
+    options.memory = context.resources.memory();
+    options.connections = context.resources.connections();
+    options.read_ahead_bytes = context.resources.read_ahead_bytes();
+    options.socket_buffer_bytes = context.resources.socket_buffer_bytes();
+    if (options.memory != nullptr) {
+        // The longest write has 128 KB (a held answer): 13 KB a second, a hundredth of the slowest link.
+        options.write_timeout = std::chrono::seconds(10);
+    }
     return options;
 }
 
-ingress_options ingress_options_of(const node_settings& settings) {
+ingress_options ingress_options_of(node_context& context) {
+    const node_settings& settings = context.settings;
     ingress_options options;
+    options.memory = context.resources.memory();
     options.default_timeout = settings.default_timeout;
-    options.replay_bytes = settings.replay_bytes;
+    options.replay_bytes = context.resources.read_ahead_bytes();
     options.max_buffered_answer_bytes = settings.held_answer_bytes;
     options.free_slot_hops = settings.free_slot_hops;
     options.caller_service = settings.local_target ? settings.local_target->service : std::string();
     return options;
 }
 
-peer_server_options peer_options(const node_settings& settings) {
+peer_server_options peer_options(const node_context& context) {
     peer_server_options options;
-    options.listen = settings.peer_listen;
+    options.listen = context.settings.peer_listen;
+    options.stream_window_bytes = context.resources.stream_window_bytes();
     options.reuse_port = true;
     return options;
 }
@@ -68,16 +80,17 @@
              {.bind_address = context.settings.bind_address.value_or(""),
               .ping_idle = context.settings.ping_idle,
               .ping_deadline = context.settings.ping_deadline,
+              .stream_window_bytes = context.resources.stream_window_bytes(),
               .on_unresponsive_connection = [this](const endpoint& peer) { on_silent_connection(peer); }}),
       gate_(context.clock, context.next_ticket, make_gate_hooks()),
       local_handler_(std::make_unique<local_exchange_handler>(gate_, hooks_)),
       peer_handler_(context, *local_handler_,
                     [this](const endpoint& peer, const request_head& head, body_reader& body,
                            response_writer& writer) { return peers_.exchange(peer, head, body, writer); }),
-      ingress_(context.clock, ingress_options_of(context.settings), make_ingress_hooks()),
-      caller_server_(executor, caller_options(context.settings, context.dialect), ingress_, context.clock,
+      ingress_(context.clock, ingress_options_of(context), make_ingress_hooks()),
+      caller_server_(executor, caller_options(context), ingress_, context.clock,
                      [this] { return new_request_id(); }),
-      peer_server_(executor, peer_options(context.settings), peer_handler_, hooks_.handle_control_call,
+      peer_server_(executor, peer_options(context), peer_handler_, hooks_.handle_control_call,
                    context.clock) {}
 
 node_shard::~node_shard() = default;
--- a/modules/proxy/buffered_answer.cpp
+++ b/modules/proxy/buffered_answer.cpp
@@ -7,6 +7,7 @@
 awaitable<absl::Status> buffered_answer::write_head(const response_head& head) {
     current_ = answer{};
     current_.head = head;
+    current_.charge = memory_charge(account_);
     if (limit_ == 0 || head.content_length.value_or(0) > limit_) {
         co_return co_await start_streaming();
     }
@@ -14,7 +15,8 @@
 }
 
 awaitable<absl::Status> buffered_answer::write_body(std::span<const std::byte> data) {
-    if (!streaming_ && current_.body.size() + data.size() > limit_) {
+    if (!streaming_ && (current_.body.size() + data.size() > limit_ ||
+                        !current_.charge.try_add(data.size(), memory_mark::low))) {
         if (absl::Status started = co_await start_streaming(); !started.ok()) {
             co_return started;
         }
@@ -72,7 +74,8 @@
     if (written.ok() && !current_.body.empty()) {
         written = co_await caller_.write_body(current_.body);
     }
-    current_.body.clear();
+    current_.body = {};
+    current_.charge.set(0);
     co_return written;
 }
 
--- a/modules/proxy/buffered_answer.h
+++ b/modules/proxy/buffered_answer.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "servers/admission/memory_account.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -12,7 +13,10 @@
 /// or that reports a failure of the target. An answer that exceeds the limit is streamed to the caller.
 class buffered_answer final : public response_writer {
 public:
-    buffered_answer(response_writer& caller, std::size_t limit) : caller_(caller), limit_(limit) {}
+    /// An account, if any, is charged with the buffered bytes, and an answer that would pass its low mark is
+    /// streamed.
+    buffered_answer(response_writer& caller, std::size_t limit, memory_account* account = nullptr)
+        : caller_(caller), limit_(limit), account_(account) {}
 
     // Commands.
     awaitable<absl::Status> write_head(const response_head& head) override;
@@ -38,12 +42,14 @@
         std::optional<response_head> head;
         std::vector<std::byte> body;
         bool complete = false;
+        memory_charge charge{};
     };
 
     awaitable<absl::Status> start_streaming();
 
     response_writer& caller_;
     const std::size_t limit_;
+    memory_account* const account_;
     answer current_;
     answer fallback_;
     bool streaming_ = false;
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -53,7 +53,9 @@
     routed.caller_service = options_.caller_service;
     replayable_body replay(body, options_.replay_bytes);
     answer_observer observer(writer, clock_);
-    buffered_answer answer(observer, options_.max_buffered_answer_bytes);
+    // No server can close this holder: its request has been sent when it holds anything.
+    memory_account account(options_.memory, nullptr);
+    buffered_answer answer(observer, options_.max_buffered_answer_bytes, &account);
     exchange_progress state{.search = target_search(options_.free_slot_hops, options_.max_hops)};
     exchange_result result = co_await route_and_attempt(routed, replay, answer, state);
     if (answer.nothing_sent() && (answer.is_complete() || answer.has_fallback())) {
--- a/modules/proxy/ingress.h
+++ b/modules/proxy/ingress.h
@@ -107,8 +107,9 @@
     /// Number of gates that are tried for a free slot before the request queues at one; 0 queues at the
     /// first.
     std::uint32_t free_slot_hops = 0;
-    std::uint32_t max_hops = 8;  ///< Maximum number of gates that are tried.
-    std::string caller_service;  ///< Service of this instance, sent to targets; empty for none.
+    std::uint32_t max_hops = 8;       ///< Maximum number of gates that are tried.
+    memory_budget* memory = nullptr;  ///< Charged with buffered answers; null without a bound.
+    std::string caller_service;       ///< Service of this instance, sent to targets; empty for none.
 };
 
 /// Routes a caller's request to its service and tries targets until one answers, or until another attempt
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -290,7 +290,8 @@
         self.settings, self.log_path = folder / f"{name}.conf", folder / f"{name}.log"
         backend.control = (ip, self.control)
         values = {"node": name, "zone": zone, "region": "sul", "ip": ip, "service": backend.service,
-                  "appAddr": f"{ip}:{backend.port}", "heartbeatMs": HEARTBEAT_MS, "platform.address": store.address}
+                  "appAddr": f"{ip}:{backend.port}", "heartbeatMs": HEARTBEAT_MS, "platform.address": store.address,
+                  "limits.memoryMb": 160, "limits.maxFds": 4100}
         for listener in ("outbound", "inbound", "control", "ready"):
             values[f"listen.{listener}"] = f"{ip}:{getattr(self, listener)}"
         values |= {f"bounds.{key}": value for key, value in BOUNDS.items()}
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -367,7 +367,7 @@
                   "listen.control": self.control, "listen.inbound": self.peer, "listen.ready": self.ready,
                   "ip": self.ip, "platform.address": self.fleet.store_address,
                   "heartbeatMs": str(int(HEARTBEAT_S * 1000)), "service": self.service,
-                  "appAddr": self.backend.address}
+                  "appAddr": self.backend.address, "limits.memoryMb": "160", "limits.maxFds": "4100"}
         fields.update({"bounds." + key: str(value) for key, value in BOUNDS.items()})
         with open(os.path.join(ROOT, "deploy", "node.yaml"), encoding="utf-8") as file:
             text = re.sub(r"\{\{([^}]+)\}\}", lambda match: fields[match.group(1)], file.read())
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -52,6 +52,10 @@
     {"section of wrong type", "log:\n  address: 127.0.0.1:7000", "log: 5", "log", "expected a mapping"},
     {"retention below leases", "seeds:", "claims: {retention_ms: 9000}\nseeds:", "claims.retention_ms",
      "must be at least twice lease_ms + margin_ms"},
+    {"memory too small for a node", "seeds:", "limits: {memory_mb: 47}\nseeds:", "limits.memory_mb",
+     "must be 0 (no bound) or at least 48"},
+    {"too few descriptors", "seeds:", "limits: {max_fds: 63}\nseeds:", "limits.max_fds",
+     "must be 0 (no bound) or at least 64"},
     {"unknown level", "seeds:", "log_level: loud\nseeds:", "log_level",
      "\"loud\" is not one of debug info warning error"},
 };
