--- a/tests/drivers/http/overlapped_requests_test.cpp
+++ b/tests/drivers/http/overlapped_requests_test.cpp
@@ -163,4 +163,30 @@
     }());
 }
 
+// Guards against work for a caller that has left, when its connection runs as many requests as it may and so
+// reads nothing (review/9).
+BOOST_AUTO_TEST_CASE(close_is_noticed_while_all_slots_are_taken) {
+    blocked_requests requests;
+    caller_server_options options;
+    options.max_overlapped = 2;
+    server_fixture fixture([&](const request_head& head, body_reader& body,
+                               response_writer& writer) { return requests.run(head, body, writer); },
+                           options);
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        std::string text;
+        for (int i = 0; i < 40; ++i) {
+            text += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+        }
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send(text);
+        co_await wait_until([&] { return requests.running == 2; });
+        error_code ignored;
+        caller.socket.close(ignored);
+        co_await wait_until([&] { return fixture.server.open_exchanges() == 0; });
+        BOOST_TEST(requests.cancelled == 2);
+        BOOST_TEST(fixture.handler.calls == 2);
+    }());
+}
+
 }  // namespace teaselpitch::testing
