--- a/tests/drivers/http/overlapped_requests_test.cpp
+++ b/tests/drivers/http/overlapped_requests_test.cpp
@@ -1,3 +1,4 @@
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -163,6 +164,88 @@
     }());
 }
 
+// Guards against a streamed answer that breaks off and takes the answers of pipelined requests behind it that
+// have run (review/8).
+BOOST_AUTO_TEST_CASE(broken_answer_is_replaced_when_requests_behind_it_have_run) {
+    int ended = 0;
+    server_fixture fixture([&](const request_head& head, body_reader& body,
+                               response_writer& writer) -> awaitable<exchange_result> {
+        if (head.path != "/broken") {
+            exchange_result result = co_await echo(head, body, writer);
+            ++ended;
+            co_return result;
+        }
+        // Nothing starts behind an answer that is being sent, so the others start first.
+        co_await wait_until([&] { return fixture.handler.calls == 3; });
+        response_head answer;
+        answer.status = 200;
+        answer.reason = "OK";
+        answer.content_length = 400'000;
+        (void)co_await writer.write_head(answer);
+        const std::string part(200'000, 'p');
+        (void)co_await writer.write_body(to_bytes(part));
+        writer.abort();
+        co_return failed_exchange(error_kind::answer_broken, "the target closed the connection");
+    });
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send(
+            "GET /broken HTTP/1.1\r\nHost: a\r\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+            "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto first = co_await caller.read_answer();
+        BOOST_TEST(first.result_int() == 502U);
+        const auto second = co_await caller.read_answer();
+        BOOST_TEST(second.body() == "GET /1 ");
+        const auto third = co_await caller.read_answer();
+        BOOST_TEST(third.body() == "GET /2 ");
+        BOOST_TEST(ended == 2);
+    }());
+}
+
+// Guards against a request that starts behind an answer which is too long to be held and may break off.
+BOOST_AUTO_TEST_CASE(nothing_starts_behind_an_answer_that_is_streamed) {
+    bool released = false;
+    caller_server_options options;
+    options.max_held_answer_bytes = 10;
+    server_fixture fixture(
+        [&](const request_head& head, body_reader& body,
+            response_writer& writer) -> awaitable<exchange_result> {
+            if (head.path != "/long") {
+                co_return co_await echo(head, body, writer);
+            }
+            response_head answer;
+            answer.status = 200;
+            answer.reason = "OK";
+            answer.content_length = 20;
+            (void)co_await writer.write_head(answer);
+            (void)co_await writer.write_body(to_bytes("0123456789"));
+            co_await wait_until([&] { return released; });
+            (void)co_await writer.write_body(to_bytes("0123456789"));
+            (void)co_await writer.finish();
+            exchange_result result;
+            result.head_written = true;
+            co_return result;
+        },
+        options);
+    run_on(fixture.context, [&]() -> awaitable<void> {
+        raw_connection caller(fixture.context.get_executor());
+        co_await caller.connect(fixture.address);
+        co_await caller.send("GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::string start(40, ' ');
+        co_await net::async_read(caller.socket, net::buffer(start), net::use_awaitable);
+        co_await caller.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        // A second connection is served meanwhile, so the first one has had its turn.
+        raw_connection other(fixture.context.get_executor());
+        co_await other.connect(fixture.address);
+        co_await other.send("GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+        (void)co_await other.read_answer();
+        BOOST_TEST(fixture.handler.calls == 2);
+        released = true;
+        co_await wait_until([&] { return fixture.handler.calls == 3; });
+    }());
+}
+
 // Guards against work for a caller that has left, when its connection runs as many requests as it may and so
 // reads nothing (review/9).
 BOOST_AUTO_TEST_CASE(close_is_noticed_while_all_slots_are_taken) {
