--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -48,6 +48,7 @@
     target_refused,
     retry_limited,
     unauthenticated,
+    memory_limited,
     internal,
 };
 
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -3,8 +3,6 @@
 #include <poll.h>
 
 #include <algorithm>
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -23,6 +21,8 @@
 /// Longer bodies are not read only to keep the connection open.
 constexpr std::size_t discard_limit_bytes = std::size_t{64} * 1024;
 constexpr std::chrono::milliseconds caller_poll_interval{20};
+/// Memory of an idle connection: its coroutine, timers, account and read buffer.
+constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
 /// Time for the caller to receive the last answer before the socket is closed.
 constexpr std::chrono::milliseconds linger_timeout{1'000};
 constexpr std::size_t max_linger_bytes = std::size_t{1024} * 1024;
@@ -42,21 +42,6 @@
     return {status.message().data(), status.message().size()};
 }
 
-/// Result that is reported to the caller when the handler wrote no head.
-exchange_result to_error_result(const exchange_result& result) {
-    return result.error == error_kind::none
-               ? failed_exchange(error_kind::internal, "the handler returned without an answer")
-               : result;
-}
-
-/// The body of a request without one.
-class empty_body final : public body_reader {
-public:
-    awaitable<absl::StatusOr<std::size_t>> read_some(std::span<std::byte>) override {
-        co_return std::size_t{0};
-    }
-};
-
 /// True when the request may run before earlier requests of its connection are answered.
 bool can_overlap(const request_head& head, const http::request_header<>& fields) {
     return !head.has_body && (head.method == "GET" || head.method == "HEAD") &&
@@ -65,17 +50,12 @@
 
 }  // namespace
 
-caller_context::caller_context(caller_server_options options_in, exchange_handler& handler_in,
-                               const time_source& clock_in, std::function<std::string()> new_request_id_in)
-    : options(std::move(options_in)),
-      handler(handler_in),
-      clock(clock_in),
-      new_request_id(std::move(new_request_id_in)) {}
-
 caller_connection::caller_connection(tcp::socket socket, std::shared_ptr<caller_context> context)
     : socket_(std::move(socket)),
       context_(std::move(context)),
       buffer_(max_unparsed_bytes),
+      account_(context_->options.memory, context_.get()),
+      connection_charge_(&account_),
       read_deadline_(socket_.get_executor(),
                      [this] {
                          error_code ignored;
@@ -83,9 +63,12 @@
                      }),
       write_deadline_(socket_.get_executor(), [this] { reset(); }),
       overlapped_changed_(socket_.get_executor(), net::steady_timer::time_point::max()),
-      termination_requested_(socket_.get_executor(), net::steady_timer::time_point::max()) {}
+      termination_requested_(socket_.get_executor(), net::steady_timer::time_point::max()) {
+    connection_charge_.set(connection_bytes);
+}
 
 void caller_connection::close() {
+    waiting_for_request_ = false;
     error_code ignored;
     socket_.close(ignored);
     read_deadline_.disarm();
@@ -96,23 +79,18 @@
     reset_socket(socket_);
 }
 
+void caller_connection::end_for_memory() {
+    ended_for_memory_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_receive, ignored);
+}
+
 void caller_connection::begin_drain() {
     if (waiting_for_request_ && overlapped_.empty()) {
         read_deadline_.arm(context_->options.drain_idle_grace);
     }
 }
 
-void caller_connection::terminate_exchanges() {
-    terminating_ = true;
-    termination_requested_.cancel();
-    const auto running = overlapped_;
-    for (const auto& request : running) {
-        if (!request->answer_started) {
-            request->cancel.emit(net::cancellation_type::terminal);
-        }
-    }
-}
-
 awaitable<void> caller_connection::run() {
     const auto self = shared_from_this();
     bool open = true;
@@ -131,18 +109,6 @@
     co_await close_gracefully();
 }
 
-// Nothing more is read from the connection, but the caller can still close it before all answers are sent.
-awaitable<void> caller_connection::finish_overlapped() {
-    using namespace net::experimental::awaitable_operators;
-    if (!overlapped_.empty() && !closing_) {
-        const auto first = co_await (wait_for_overlapped_answers() || wait_for_caller_close());
-        if (first.index() == 1) {
-            cancel_overlapped();
-        }
-    }
-    co_await wait_for_overlapped_answers();
-}
-
 std::string_view caller_connection::buffered() const {
     return {static_cast<const char*>(buffer_.cdata().data()), buffer_.size()};
 }
@@ -181,6 +147,8 @@
             read_deadline_.arm(options.limits.header_timeout);
         }
         waiting_for_request_ = size == 0;
+        idle_since_ = context_->clock.now();
+        connection_charge_.set(connection_bytes + size);
         auto [error, count] =
             co_await socket_.async_read_some(buffer_.prepare(read_chunk_bytes), tuple_awaitable);
         waiting_for_request_ = false;
@@ -196,6 +164,10 @@
     if (closing_ || buffered().empty() || (error != net::error::eof && !read_deadline_.expired())) {
         co_return header_outcome::closed;
     }
+    if (ended_for_memory_) {
+        co_await reject_request(error_kind::memory_limited, "the memory of the unfinished header is needed");
+        co_return header_outcome::refused;
+    }
     co_await reject_request(error_kind::malformed_request,
                             read_deadline_.expired() ? "the header was not complete before the timeout"
                                                      : "the connection ended before the end of the header");
@@ -231,14 +203,17 @@
         head->request_id = context_->new_request_id();
     }
     preferences_ = {.version = parser.get().version(), .keep_alive = parser.keep_alive()};
+    if (account_.mark() == memory_mark::critical) {
+        co_return co_await refuse_for_memory(*head, "the node holds as many bytes as it may");
+    }
     if (can_overlap(*head, parser.get())) {
-        while (overlapped_.size() >= context_->options.max_overlapped && !closing_) {
-            co_await overlapped_changed_.async_wait(tuple_awaitable);
+        if (!co_await wait_for_slot()) {
+            co_return false;
         }
         start_overlapped(*std::move(head), preferences_);
         co_return preferences_.keep_alive;
     }
-    co_await wait_for_overlapped_answers();
+    co_await finish_overlapped();
     if (closing_) {
         co_return false;
     }
@@ -254,108 +229,8 @@
     co_return open;
 }
 
-void caller_connection::start_overlapped(request_head head, connection_preferences preferences) {
-    auto request = std::make_shared<overlapped_request>();
-    request->head = std::move(head);
-    request->preferences = preferences;
-    request->position = next_position_++;
-    overlapped_.insert(request);
-    ++context_->open_exchanges;
-    net::co_spawn(socket_.get_executor(), run_overlapped(request),
-                  net::bind_cancellation_slot(request->cancel.slot(), [self = shared_from_this(),
-                                                                       request](const std::exception_ptr&) {
-                      self->remove_overlapped(request);
-                  }));
-}
-
-awaitable<void> caller_connection::run_overlapped(std::shared_ptr<overlapped_request> request) {
-    empty_body body;
-    caller_writer_settings settings = writer_settings(request->head, request->preferences);
-    settings.wait_for_earlier_answers = [this, request] {
-        request->answer_started = true;
-        return wait_for_earlier_answers(request->position);
-    };
-    caller_writer writer(socket_, write_deadline_, settings);
-    exchange_result result = failed_exchange(error_kind::cancelled, "the caller closed the connection");
-    co_await run_handler(request->head, body, writer, result);
-    // From here on, closing_ ends the coroutine. A cancelled state would make co_spawn throw when the
-    // coroutine ends.
-    co_await net::this_coro::reset_cancellation_state(net::disable_cancellation());
-    request->answer_started = true;
-    if (!closing_) {
-        const exchange_result final_result = replace_if_terminated(std::move(result));
-        co_await complete_overlapped_answer(*request, writer, final_result);
-    }
-}
-
-awaitable<void> caller_connection::complete_overlapped_answer(const overlapped_request& request,
-                                                              caller_writer& writer,
-                                                              const exchange_result& result) {
-    co_await wait_for_earlier_answers(request.position);
-    bool open = false;
-    if (closing_) {
-        co_return;
-    }
-    if (writer.finished()) {
-        open = writer.keep_alive();
-    } else if (writer.started()) {
-        writer.abort();
-    } else {
-        const exchange_result failure = to_error_result(result);
-        const bool keep_open = request.preferences.keep_alive && !should_close_after_answer();
-        open = co_await send_error(failure, request.head, request.preferences, !keep_open) && keep_open;
-    }
-    if (!open) {
-        stop_reading();
-        cancel_overlapped();
-    }
-}
-
-void caller_connection::remove_overlapped(const std::shared_ptr<overlapped_request>& request) {
-    overlapped_.erase(request);
-    --context_->open_exchanges;
-    answered_before_ = std::max(answered_before_, request->position + 1);
-    overlapped_changed_.cancel();
-    if (waiting_for_request_ && overlapped_.empty() && !closing_) {
-        read_deadline_.arm(context_->draining ? context_->options.drain_idle_grace
-                                              : context_->options.limits.idle_timeout);
-    }
-}
-
-void caller_connection::cancel_overlapped() {
-    closing_ = true;
-    const auto running = overlapped_;
-    for (const auto& request : running) {
-        request->cancel.emit(net::cancellation_type::terminal);
-    }
-    overlapped_changed_.cancel();
-}
-
-void caller_connection::stop_reading() {
-    closing_ = true;
-    // The last answer has been written, so only the read of the next header can be pending.
-    error_code ignored;
-    socket_.cancel(ignored);
-}
-
-awaitable<void> caller_connection::wait_for_earlier_answers(std::uint64_t position) {
-    while (answered_before_ < position && !closing_) {
-        co_await overlapped_changed_.async_wait(tuple_awaitable);
-    }
-}
-
-awaitable<void> caller_connection::wait_for_overlapped_answers() {
-    while (!overlapped_.empty()) {
-        co_await overlapped_changed_.async_wait(tuple_awaitable);
-        const net::cancellation_state state = co_await net::this_coro::cancellation_state;
-        if (state.cancelled() != net::cancellation_type::none) {
-            co_return;
-        }
-    }
-}
-
 caller_writer_settings caller_connection::writer_settings(const request_head& head,
-                                                          const connection_preferences& preferences) const {
+                                                          const connection_preferences& preferences) {
     caller_writer_settings settings;
     settings.request_id = head.request_id;
     settings.node = context_->options.node;
@@ -364,18 +239,28 @@
     settings.keep_alive = preferences.keep_alive;
     settings.should_close = [this] { return should_close_after_answer(); };
     settings.timeout = context_->options.write_timeout;
+    settings.account = &account_;
     settings.fleet_fields = context_->options.dialect.adds_fleet_fields_to_answers;
     return settings;
 }
 
 awaitable<bool> caller_connection::run_request(parser& parser, const request_head& head) {
     caller_body body(socket_, buffer_, parser, read_deadline_, context_->options.body_timeout);
+    memory_charge body_charge(&account_);
+    account_.set_sent(!head.has_body);
     if (head.has_body) {
+        if (!co_await reserve_body(head, body_charge)) {
+            co_return co_await refuse_for_memory(head, "the bodies of other requests take the memory");
+        }
+        body.report_to(account_, context_->options.read_ahead_bytes);
         const std::string_view expect = parser.get()[http::field::expect];
         if (!expect.empty() && preferences_.version >= 11) {
             body.expect_continue();
         }
         const absl::Status status = co_await body.prefetch(prefetch_limit_bytes);
+        if (!status.ok() && ended_for_memory_) {
+            co_return co_await refuse_for_memory(head, "the body made no progress while others waited");
+        }
         if (!status.ok()) {
             co_await reject_request(body_error_kind(status), status_message(status));
             co_return false;
@@ -389,12 +274,15 @@
         result.error = error_kind::malformed_request;
         result.detail = "the caller closed the connection before the body was read completely";
     }
+    account_.set_sent(true);  // The answer is sent without interruption.
+    result = replace_if_ended_for_memory(std::move(result));
     const bool open = co_await finish_request(result, head, body, writer);
+    account_.set_sent(false);
     co_return open && !caller_closed;
 }
 
 awaitable<void> caller_connection::run_handler(const request_head& head, body_reader& body,
-                                               caller_writer& writer, exchange_result& result) {
+                                               response_writer& writer, exchange_result& result) {
     try {
         result = co_await context_->handler.exchange(head, body, writer);
     } catch (const boost::system::system_error& error) {
@@ -415,11 +303,6 @@
     co_return replace_if_terminated(std::move(result));
 }
 
-// Closing the connection would also discard later requests, some of which may already have run.
-bool caller_connection::should_close_after_answer() const {
-    return context_->draining && overlapped_.size() <= 1;
-}
-
 // Completes when the request must be terminated. A request whose answer has been started is not terminated.
 awaitable<void> caller_connection::wait_for_termination(const caller_writer& writer) {
     while (!terminating_ || writer.started()) {
@@ -431,6 +314,56 @@
     }
 }
 
+exchange_result caller_connection::replace_if_ended_for_memory(exchange_result result) const {
+    const bool not_run = result.execution == execution_state::not_run;
+    if (ended_for_memory_ && result.error != error_kind::none && not_run) {
+        return failed_exchange(error_kind::memory_limited, "the body made no progress while others waited");
+    }
+    return result;
+}
+
+// Waits for the memory of the part of the body that the handler reads ahead; the rest is streamed. Returns
+// false when the request must be refused.
+awaitable<bool> caller_connection::reserve_body(const request_head& head, memory_charge& charge) {
+    const caller_server_options& options = context_->options;
+    if (options.memory == nullptr) {
+        co_return true;
+    }
+    const auto bytes = static_cast<std::size_t>(std::min<std::uint64_t>(
+        head.content_length.value_or(options.read_ahead_bytes), options.read_ahead_bytes));
+    // A small body takes about as much as a head, so it needs not wait behind large ones.
+    const memory_mark mark = bytes <= prefetch_limit_bytes ? memory_mark::high : memory_mark::low;
+    const steady_time end = context_->clock.now() + options.memory_wait;
+    std::optional<memory_waiter> waiter;
+    net::steady_timer timer(socket_.get_executor());
+    while (!charge.try_add(bytes, mark)) {
+        if (account_.mark() >= memory_mark::high || context_->clock.now() >= end ||
+            is_closed_by_caller(socket_)) {
+            co_return false;
+        }
+        if (!waiter) {
+            waiter.emplace(*options.memory);
+        }
+        account_.note_progress();  // It is not the caller that makes this one wait.
+        timer.expires_after(caller_poll_interval);
+        co_await timer.async_wait(tuple_awaitable);
+    }
+    account_.note_progress();
+    co_return true;
+}
+
+awaitable<bool> caller_connection::refuse_for_memory(const request_head& head, std::string_view detail) {
+    const exchange_result result = failed_exchange(error_kind::memory_limited, detail);
+    if (context_->options.memory != nullptr) {
+        context_->options.memory->count(memory_action::request_refused);
+    }
+    co_await finish_overlapped();
+    if (!closing_) {
+        co_await send_error(result, head, preferences_, true);
+    }
+    co_return false;
+}
+
 exchange_result caller_connection::replace_if_terminated(exchange_result result) const {
     if (terminating_ && result.error == error_kind::cancelled) {
         return failed_exchange(error_kind::target_timeout, "the node is stopping before the target answered");
@@ -439,10 +372,12 @@
 }
 
 awaitable<void> caller_connection::wait_for_caller_close() {
+    // end_for_memory() looks like a close of the caller, but a request that is complete by then goes on.
+    const auto closed = [this] { return !ended_for_memory_ && is_closed_by_caller(socket_); };
     net::steady_timer timer(socket_.get_executor());
-    while (!is_closed_by_caller(socket_)) {
+    while (!closed()) {
         auto [error] = co_await socket_.async_wait(tcp::socket::wait_read, tuple_awaitable);
-        if (error || is_closed_by_caller(socket_)) {
+        if (error || closed()) {
             break;
         }
         // Unread bytes of the body or of a pipelined request keep the socket readable, so the close is polled
@@ -490,7 +425,7 @@
 awaitable<void> caller_connection::reject_request(error_kind kind, std::string_view detail) {
     read_deadline_.disarm();
     const std::string reason(detail);
-    co_await wait_for_overlapped_answers();
+    co_await finish_overlapped();
     if (closing_) {
         co_return;
     }
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -77,7 +77,15 @@
       target_speed_(register_gauges(registry_, "teaselpitch_target_speed",
                                     "Expected divided by observed time of recent runs")),
       completion_choices_(register_gauges(registry_, "teaselpitch_completion_choices",
-                                          "Choices of a target by expected completion since the start")) {}
+                                          "Choices of a target by expected completion since the start")),
+      caller_memory_(register_gauge(registry_, "teaselpitch_caller_memory_bytes",
+                                    "Bytes held for callers, as counted by the memory budget")),
+      caller_connections_(
+          register_gauge(registry_, "teaselpitch_caller_connections", "Open connections of callers")),
+      pressure_actions_(prometheus::BuildGauge()
+                            .Name("teaselpitch_pressure_actions_total")
+                            .Help("Refusals and closes because of a lack of memory or descriptors")
+                            .Register(registry_)) {}
 
 void node_metrics::count_request(std::string_view service, error_kind error,
                                  std::chrono::nanoseconds latency) {
@@ -155,6 +163,18 @@
     completion_choices_.Add({{"zone", "other"}}).Set(static_cast<double>(other_zones));
 }
 
+void node_metrics::set_caller_memory(std::size_t bytes) {
+    caller_memory_.Set(static_cast<double>(bytes));
+}
+
+void node_metrics::set_caller_connections(std::size_t count) {
+    caller_connections_.Set(static_cast<double>(count));
+}
+
+void node_metrics::set_pressure_actions(std::string_view action, std::uint64_t count) {
+    pressure_actions_.Add({{"action", std::string(action)}}).Set(static_cast<double>(count));
+}
+
 std::string node_metrics::serialize() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
