Reject malformed replies of the log service

Cause: the client of the log service reads replies with a parser of its own and had the same gaps as the reader of targets.

Change: it checks the raw head with read_answer_head and skips up to 16 interim replies; any other malformed reply is no answer, so the outcome of the call stays unknown.

After: all of test_log passes.

--- a/drivers/log/log_http_client.cpp
+++ b/drivers/log/log_http_client.cpp
@@ -7,6 +7,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "drivers/http/answer_head.h"
 
 namespace teaselpitch::log_http {
 namespace {
@@ -18,8 +23,8 @@
 
 constexpr auto result_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t max_answer_bytes = std::uint64_t{256} << 20;
-// A parser that waits for the end of a line would otherwise keep all bytes of a peer that never sends one.
-constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
+constexpr std::uint32_t max_header_bytes = 8 * 1024;
+constexpr unsigned lowest_final_status = 200;
 
 response make_failed_response(response failed, std::string_view step, const beast::error_code& error) {
     failed.detail = std::string(step) + ": " + error.message();
@@ -61,15 +66,30 @@
         co_return make_failed_response(result, "send", write_error);
     }
     beast::flat_buffer buffer(max_unparsed_bytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_bytes);
-    const auto [read_error, received] = co_await http::async_read(stream, buffer, parser, result_tuple);
-    if (read_error) {
-        co_return make_failed_response(result, "receive", read_error);
+    for (int interim = 0; interim <= max_interim_answers; ++interim) {
+        const answer_head_failure failure = co_await read_answer_head(stream, buffer, max_header_bytes);
+        if (failure.error) {
+            co_return make_failed_response(result, "receive", failure.error);
+        }
+        if (!failure.malformed.empty()) {
+            result.detail = "malformed answer: " + failure.malformed;
+            co_return result;
+        }
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(max_header_bytes);
+        parser.body_limit(max_answer_bytes);
+        const auto [read_error, received] = co_await http::async_read(stream, buffer, parser, result_tuple);
+        if (read_error) {
+            co_return make_failed_response(result, "receive", read_error);
+        }
+        if (parser.get().result_int() >= lowest_final_status) {
+            result.answered = true;
+            result.status = parser.get().result_int();
+            result.body = std::move(parser.get().body());
+            co_return result;
+        }
     }
-    result.answered = true;
-    result.status = parser.get().result_int();
-    result.body = std::move(parser.get().body());
+    result.detail = "malformed answer: too many interim answers";
     co_return result;
 }
 
