Let the watch of the memory budget end with its server

Cause: the loop that closes connections for memory kept its server alive while it waited, so that it never ended.

Change: it holds the server only while it looks at the connections.

--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -59,7 +59,13 @@
 awaitable<void> caller_server::state::watch_memory(std::weak_ptr<state> weak, net::any_io_executor executor) {
     constexpr std::chrono::milliseconds interval{50};
     net::steady_timer timer(executor);
-    while (const auto self = weak.lock()) {
+    while (true) {
+        timer.expires_after(interval);
+        co_await timer.async_wait(tuple_awaitable);
+        const auto self = weak.lock();
+        if (!self) {
+            co_return;
+        }
         const auto open = self->context->connections;
         while (const auto victim = self->context->options.memory->take_victim(self->context.get())) {
             for (const auto& connection : open) {
@@ -68,8 +74,6 @@
                 }
             }
         }
-        timer.expires_after(interval);
-        co_await timer.async_wait(tuple_awaitable);
     }
 }
 
