Initialize all members of a trial in the answer tests

Cause: clang-tidy reports two members of an aggregate without initial values.

Change: defaults for both.

Conclusion: no change of behavior.

--- a/tests/drivers/http/answer_trials.h
+++ b/tests/drivers/http/answer_trials.h
@@ -18,9 +18,9 @@
 enum class ending : std::uint8_t { none, close, reset };
 
 struct trial {
-    std::string answer;  ///< Bytes that the target sends.
-    ending end;          ///< What it does after them; none leaves the connection open.
-    bool upload;         ///< The request has a body that the target does not read.
+    std::string answer;         ///< Bytes that the target sends.
+    ending end = ending::none;  ///< What it does after them; none leaves the connection open.
+    bool upload = false;        ///< The request has a body that the target does not read.
 };
 
 struct trial_result {
