Let client accounts take turns at full gates

Cause: at a full gate the account with the most requests got most slots, and calls of running requests waited behind new work of their rank.

Change: with fair_accounts (set with routing.cost_aware), and while a request with an account is queued, a gate orders by rank, then requests without an account, then accounts by the work that they hold up to the request, then by what meets its objective. Requests whose turn comes too late, or is moved back too far by a new one, are refused at once. Queues without accounts take the former path.

Measured: test_admission, no errors.

Conclusion: a surge of one account delays only its own requests.

--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -246,6 +246,7 @@
     admission_options admission;
     admission.slots = message.slots;
     admission.max_wait = rules.max_wait;
+    admission.fair_accounts = estimator_ != nullptr;
     auto target = std::make_shared<managed_target>(clock_, message, admission,
                                                    outlier_detection_options_for(rules.policy, message.slots),
                                                    retry_budget_, estimator_);
--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/identity.h"
+#include "servers/admission/account_order.h"
 
 namespace teaselpitch {
 namespace {
@@ -37,6 +38,8 @@
     "Requests of a higher rank use all slots until this request would be late.";
 constexpr std::string_view displaced_reason =
     "The queue is full, and the account holds the largest part of it.";
+constexpr std::string_view turn_reason =
+    "Accounts with less work use all slots until this request would be late.";
 constexpr std::string_view max_wait_reason = "No slot became free within the maximum wait.";
 
 }  // namespace
@@ -44,6 +47,7 @@
 admission_queue::admission_queue(const time_source& clock, const admission_options& options)
     : clock_(clock),
       max_queued_(options.max_queued),
+      fair_accounts_(options.fair_accounts),
       max_wait_(options.max_wait),
       slots_(options.slots),
       overall_service_time_{.mean_ns =
@@ -68,7 +72,7 @@
         return make_refusal(error_kind::overloaded, late_reason);
     }
     if (has_free_slot() && queue_.empty()) {
-        running_.emplace(ticket, running_request{now, request.work_class});
+        running_.emplace(ticket, running_request{now, request.work_class, stable_hash(request.account)});
         return {.outcome = offer_outcome::admitted};
     }
     if (!request.may_queue) {
@@ -89,6 +93,7 @@
     entry.start_by = entry.latest_start;
     entry.deadline = request.deadline;
     entry.account = stable_hash(request.account);
+    entry.has_account = !request.account.empty();
     entry.ticket = ticket;
     entry.work_class = request.work_class;
     entry.rank = request.rank;
@@ -101,10 +106,12 @@
 }
 
 offer_result admission_queue::enqueue(const queued_request& entry, steady_time now) {
-    if (std::any_of(queue_.begin(), queue_.end(),
-                    [&entry](const queued_request& other) { return other.ticket == entry.ticket; })) {
+    if (find_ticket(entry.ticket) != queue_.size()) {
         return make_refusal(error_kind::internal, duplicate_reason);
     }
+    if (takes_turns(&entry)) {
+        return enqueue_by_turns(entry, now);
+    }
     offer_result result{.outcome = offer_outcome::queued};
     if (can_enqueue(entry, now)) {
         insert(entry);
@@ -129,8 +136,7 @@
         return make_refusal(error_kind::overloaded, full_reason);
     }
     const std::string_view reason = removed.rank > entry.rank ? outranked_reason : displaced_reason;
-    result.dropped.push_back({removed.ticket, error_kind::overloaded, reason,
-                              make_refusal(error_kind::overloaded, reason).retry_after});
+    result.dropped.push_back(make_dropped(removed, reason));
     insert(entry);
     return result;
 }
@@ -145,12 +151,108 @@
             continue;
         }
         const queued_request removed = remove_at(i);
-        outranked.push_back({removed.ticket, error_kind::overloaded, outranked_reason,
-                             make_refusal(error_kind::overloaded, outranked_reason).retry_after});
+        outranked.push_back(make_dropped(removed, outranked_reason));
     }
     return outranked;
 }
 
+bool admission_queue::takes_turns(const queued_request* entry) const {
+    return fair_accounts_ && (queued_with_account_ > 0 || (entry != nullptr && entry->has_account));
+}
+
+// Positions in queue_, the next request to run first.
+std::vector<std::size_t> admission_queue::order_of_turns(steady_time now) const {
+    const auto work_of = [this](std::uint64_t work_class) {
+        return nanoseconds(static_cast<std::int64_t>(service_time_of(work_class).mean_ns));
+    };
+    work_by_account running;
+    for (const auto& [ticket, request] : running_) {
+        running[request.account] += work_of(request.work_class);
+    }
+    // An account's requests that miss their objective by now run after its others.
+    std::vector<std::size_t> positions;
+    std::vector<account_order_item> items;
+    for (const bool late : {false, true}) {
+        for (std::size_t i = queue_.size(); i-- > 0;) {
+            const queued_request& entry = queue_[i];
+            if ((entry.has_account && entry.start_by < now) != late) {
+                continue;
+            }
+            positions.push_back(i);
+            items.push_back({.rank = entry.rank,
+                             .has_account = entry.has_account,
+                             .account = entry.account,
+                             .work = work_of(entry.work_class)});
+        }
+    }
+    std::vector<std::size_t> order = order_by_account(items, running);
+    std::transform(order.begin(), order.end(), order.begin(),
+                   [&positions](std::size_t index) { return positions[index]; });
+    return order;
+}
+
+std::size_t admission_queue::turn_of(ticket_id ticket, steady_time now) const {
+    const std::vector<std::size_t> order = order_of_turns(now);
+    const auto found = std::find_if(order.begin(), order.end(),
+                                    [&](std::size_t position) { return queue_[position].ticket == ticket; });
+    return static_cast<std::size_t>(found - order.begin());
+}
+
+offer_result admission_queue::enqueue_by_turns(queued_request entry, steady_time now) {
+    insert(entry);
+    std::size_t turn = turn_of(entry.ticket, now);
+    if (now + estimate_wait(turn) > entry.start_by && entry.start_by < entry.latest_start) {
+        // It misses its objective and waits behind the other requests of its account.
+        remove_at(find_ticket(entry.ticket));
+        entry.misses_objective = true;
+        entry.start_by = entry.latest_start;
+        insert(entry);
+        turn = turn_of(entry.ticket, now);
+    }
+    const bool is_last = turn + 1 == queue_.size();
+    if (slots_ == 0 || now + estimate_wait(turn) > entry.latest_start || estimate_wait(turn) > max_wait_ ||
+        (queue_.size() > max_queued_ && is_last)) {
+        remove_at(find_ticket(entry.ticket));
+        return make_refusal(error_kind::overloaded, full_reason);
+    }
+    offer_result result{.outcome = offer_outcome::queued};
+    if (queue_.size() > max_queued_) {
+        result.dropped.push_back(make_dropped(remove_at(order_of_turns(now).back()), turn_reason));
+    }
+    remove_late_turns(turn + 1, now, result.dropped);
+    return result;
+}
+
+// Removes the requests from a turn on that can no longer start in time behind the others.
+void admission_queue::remove_late_turns(std::size_t first_turn, steady_time now,
+                                        std::vector<dropped_ticket>& dropped) {
+    std::vector<ticket_id> late;
+    const std::vector<std::size_t> order = order_of_turns(now);
+    std::size_t turn = first_turn;
+    for (std::size_t i = first_turn; i < order.size(); ++i) {
+        if (now + estimate_wait(turn) <= queue_[order[i]].latest_start) {
+            ++turn;
+        } else {
+            late.push_back(queue_[order[i]].ticket);
+        }
+    }
+    for (const ticket_id ticket : late) {
+        dropped.push_back(make_dropped(remove_at(find_ticket(ticket)), turn_reason));
+    }
+}
+
+dropped_ticket admission_queue::make_dropped(const queued_request& removed, std::string_view reason) const {
+    return {removed.ticket, error_kind::overloaded, reason,
+            make_refusal(error_kind::overloaded, reason).retry_after};
+}
+
+// Returns the size of the queue for an unknown ticket.
+std::size_t admission_queue::find_ticket(ticket_id ticket) const {
+    const auto found = std::find_if(queue_.begin(), queue_.end(),
+                                    [ticket](const queued_request& entry) { return entry.ticket == ticket; });
+    return static_cast<std::size_t>(found - queue_.begin());
+}
+
 admission_change admission_queue::release(ticket_id ticket) {
     const std::lock_guard lock(mutex_);
     const steady_time now = clock_.now();
@@ -165,11 +267,9 @@
 admission_change admission_queue::cancel(ticket_id ticket) {
     const std::lock_guard lock(mutex_);
     if (running_.erase(ticket) == 0) {
-        const auto found = std::find_if(queue_.begin(), queue_.end(), [ticket](const queued_request& entry) {
-            return entry.ticket == ticket;
-        });
-        if (found != queue_.end()) {
-            remove_at(static_cast<std::size_t>(found - queue_.begin()));
+        const std::size_t position = find_ticket(ticket);
+        if (position != queue_.size()) {
+            remove_at(position);
         }
     }
     return fill_free_slots(clock_.now());
@@ -326,11 +426,13 @@
                              [&entry](const queued_request& other) { return precedes(entry, other); });
     queue_.insert(insert_position, entry);
     ++queued_by_account_[entry.account];
+    queued_with_account_ += entry.has_account ? 1 : 0;
 }
 
 admission_queue::queued_request admission_queue::remove_at(std::size_t position) {
     const queued_request entry = queue_[position];
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(position));
+    queued_with_account_ -= entry.has_account ? 1 : 0;
     const auto count = queued_by_account_.find(entry.account);
     if (--count->second == 0) {
         queued_by_account_.erase(count);
@@ -378,8 +480,9 @@
     admission_change change;
     change.dropped = remove_overdue(now);
     while (has_free_slot() && !queue_.empty()) {
-        const queued_request entry = remove_at(queue_.size() - 1);
-        running_.emplace(entry.ticket, running_request{now, entry.work_class});
+        const std::size_t next = takes_turns() ? order_of_turns(now).front() : queue_.size() - 1;
+        const queued_request entry = remove_at(next);
+        running_.emplace(entry.ticket, running_request{now, entry.work_class, entry.account});
         change.admitted.push_back(entry.ticket);
     }
     return change;
--- a/servers/admission/admission_queue.h
+++ b/servers/admission/admission_queue.h
@@ -24,6 +24,9 @@
     std::chrono::milliseconds max_wait{200};  ///< Maximum wait in the queue (queue_ms of the service row).
     std::chrono::milliseconds initial_service_time{
         20};  ///< Estimate used until the first request has finished.
+    /// Within a rank, lets accounts take turns by the work that they hold (see order_by_account()). Has no
+    /// effect while no request with an account is queued.
+    bool fair_accounts = false;
 };
 
 /// Properties of a request that determine its admission and its place in the queue.
@@ -86,7 +89,8 @@
 /// assumed to take as long as the rest. A request that would miss its objective may wait behind all others of
 /// its rank. When the queue is full, a request replaces one of a lower rank; within a rank, a request of an
 /// account with few queued requests replaces one of the account with the most, so that no account can fill
-/// the queue. Thread-safe; each call holds one lock briefly.
+/// the queue. With fair_accounts, the turns of the accounts replace both of these rules. Thread-safe; each
+/// call holds one lock briefly.
 class admission_queue {
 public:
     admission_queue(const time_source& clock, const admission_options& options);
@@ -132,10 +136,12 @@
         std::uint64_t work_class = 0;
         std::uint32_t rank = 0;
         bool misses_objective = false;  ///< Queued behind all other requests of its rank.
+        bool has_account = false;
     };
     struct running_request {
         steady_time started_at;
         std::uint64_t work_class = 0;
+        std::uint64_t account = 0;
     };
     struct service_time {
         double mean_ns = 0;
@@ -154,6 +160,13 @@
     [[nodiscard]] queued_request make_queued_request(ticket_id ticket, const admission_request& request,
                                                      steady_time now) const;
     std::vector<dropped_ticket> remove_outranked(steady_time now);
+    [[nodiscard]] bool takes_turns(const queued_request* entry = nullptr) const;
+    [[nodiscard]] std::vector<std::size_t> order_of_turns(steady_time now) const;
+    [[nodiscard]] std::size_t turn_of(ticket_id ticket, steady_time now) const;
+    [[nodiscard]] std::size_t find_ticket(ticket_id ticket) const;
+    offer_result enqueue_by_turns(queued_request entry, steady_time now);
+    void remove_late_turns(std::size_t first_turn, steady_time now, std::vector<dropped_ticket>& dropped);
+    [[nodiscard]] dropped_ticket make_dropped(const queued_request& removed, std::string_view reason) const;
     [[nodiscard]] offer_result make_refusal(error_kind error, std::string_view reason) const;
 
     offer_result enqueue(const queued_request& entry, steady_time now);
@@ -165,6 +178,7 @@
 
     const time_source& clock_;
     const std::size_t max_queued_;
+    const bool fair_accounts_;
     mutable std::mutex mutex_;
     std::chrono::nanoseconds max_wait_;
     std::uint32_t slots_;
@@ -174,6 +188,7 @@
     absl::flat_hash_map<ticket_id, running_request> running_;
     std::vector<queued_request> queue_;  ///< In reverse order: the next request to run is last.
     absl::flat_hash_map<std::uint64_t, std::uint32_t> queued_by_account_;
+    std::size_t queued_with_account_ = 0;
 };
 
 }  // namespace teaselpitch
