Count a lost answer as a crash only when the target's process has ended

Cause: a connection that was closed or reset during a request counted as a crash of the target.

Change: after such a loss the gate opens a connection to the target. If none is accepted it is a crash, as before. Otherwise the answer is only lost.

--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -85,7 +85,7 @@
       crashes_(context.clock, context.self, context.targets.quarantine(),
                {.quarantined =
                     [this](const std::string& service, const crash_report& crash) {
-                        context_.targets.record_quarantine(service, crash);
+                        context_.targets.crashes().record_quarantine(service, crash);
                     },
                 .released =
                     [](std::uint64_t fingerprint, const std::string& origin) {
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -38,11 +38,9 @@
     context_.target_changed = [this](const managed_target_fact& fact) {
         control_plane_.on_local_target(fact);
     };
-    context_.target_crashed = [this](const gate_run& run, std::uint64_t fingerprint) {
+    context_.target_crashed = [this](const std::string& service, const crash_report& crash) {
         context_.post_to_control_thread(
-            [this, service = run.head.service, target = run.target.identity(), fingerprint] {
-                control_plane_.on_local_crash(service, {fingerprint, target});
-            });
+            [this, service, crash] { control_plane_.on_local_crash(service, crash); });
     };
 }
 
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -60,8 +60,8 @@
           clock,
           {.admission_of = [this](std::string_view service) { return routing.read()->admission_of(service); },
            .target_changed = [this](const managed_target_fact& fact) { target_changed(fact); },
-           .target_crashed = [this](const gate_run& run,
-                                    std::uint64_t fingerprint) { target_crashed(run, fingerprint); }},
+           .target_crashed = [this](const std::string& service,
+                                    const crash_report& crash) { target_crashed(service, crash); }},
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings),
           costs ? &costs->estimator() : nullptr),
       accounts(clock, self, [this] { return routing.read(); }) {}
--- a/modules/node/node_context.h
+++ b/modules/node/node_context.h
@@ -74,8 +74,9 @@
     /// Called with each change of a guarded target, which is then announced to the other nodes. Must be set
     /// before the threads start.
     std::function<void(const managed_target_fact&)> target_changed;
-    /// Called when a request crashed a target of this node. Must be set before the threads start.
-    std::function<void(const gate_run&, std::uint64_t fingerprint)> target_crashed;
+    /// Called for each request that ran when a target of this node crashed. Must be set before the threads
+    /// start.
+    crash_recorder::crash_hook target_crashed;
 };
 
 }  // namespace teaselpitch
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -2,14 +2,27 @@
 
 #include <fmt/format.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "core/event_log.h"
+#include "drivers/http/listen_probe.h"
 
 namespace teaselpitch {
 namespace {
 
+using namespace std::chrono_literals;
+
+// A live listener on the same instance accepts within milliseconds, unless the instance is overloaded.
+constexpr std::chrono::milliseconds probe_timeout = 300ms;
+constexpr std::chrono::milliseconds probe_interval = 60ms;
+// Well below the 3 s after which no further request may crash a target.
+constexpr std::chrono::milliseconds watch_time = 300ms;
+
 caller_server_options caller_options(const node_settings& settings, const http_dialect& dialect) {
     caller_server_options options;
     options.listen = settings.caller_listen;
@@ -164,7 +177,42 @@
                                                       body_reader& body, response_writer& writer,
                                                       const write_permission& permission) {
     const std::shared_ptr<target_client> client = target_client_for(target);
-    co_return co_await client->exchange(head, body, writer, permission);
+    exchange_result result = co_await client->exchange(head, body, writer, permission);
+    if (result.target_crashed) {
+        // A sound target may close a connection or lose an answer; it then still accepts connections.
+        const endpoint address = target.address();
+        result.answer_lost = co_await accepts_connections(executor_, address, probe_timeout);
+        result.target_crashed = !result.answer_lost;
+    }
+    if (result.answer_lost) {
+        watch_target(target);
+    }
+    co_return result;
+}
+
+void node_shard::watch_target(const guarded_target& target) {
+    const auto [entry, added] =
+        watched_until_.insert_or_assign(target.identity(), context_.clock.now() + watch_time);
+    if (added) {
+        boost::asio::co_spawn(executor_, probe_target(target.identity(), target.address()),
+                              boost::asio::detached);
+    }
+}
+
+// A process that ends may close its listener after its connections, so the target is probed again for a while
+// after each lost answer.
+awaitable<void> node_shard::probe_target(target_identity target, endpoint address) {
+    boost::asio::steady_timer timer(executor_);
+    while (context_.clock.now() < watched_until_[target]) {
+        timer.expires_after(probe_interval);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        const bool accepts = co_await accepts_connections(executor_, address, probe_timeout);
+        if (!accepts) {
+            context_.targets.crashes().on_process_ended(target);
+            break;
+        }
+    }
+    watched_until_.erase(target);
 }
 
 awaitable<exchange_result> node_shard::dispatch(const route_choice& choice, const request_head& head,
--- a/modules/node/node_shard.h
+++ b/modules/node/node_shard.h
@@ -62,6 +62,9 @@
                                         body_reader& body, response_writer& writer);
     awaitable<exchange_result> detour(const route_choice& choice, const request_head& head, body_reader& body,
                                       response_writer& writer, exchange_result direct);
+    /// Finds out whether the process of a target that lost an answer ends.
+    void watch_target(const guarded_target& target);
+    awaitable<void> probe_target(target_identity target, endpoint address);
     [[nodiscard]] std::optional<node_address> find_detour_node(const std::string& avoided) const;
     std::shared_ptr<target_client> target_client_for(const guarded_target& target);
     void on_silent_connection(const endpoint& peer);
@@ -79,6 +82,7 @@
     caller_server caller_server_;
     peer_server peer_server_;
     std::map<target_identity, std::shared_ptr<target_client>> clients_;
+    std::map<target_identity, steady_time> watched_until_;  ///< Targets that lost an answer.
 };
 
 }  // namespace teaselpitch
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -130,11 +130,10 @@
                                work_estimator* estimator)
     : clock_(clock),
       hooks_(std::move(hooks)),
-      decisions_(decisions),
       renewal_limit_(renewal_limit),
       retry_budget_(retry_budget),
       estimator_(estimator),
-      quarantine_(clock, quarantine_options{}),
+      crashes_(clock, decisions, hooks_.target_crashed),
       targets_(std::make_shared<const target_map>()) {}
 
 absl::Status target_manager::on_announcement(const announcement& message) {
@@ -179,6 +178,7 @@
         record_departure(message.identity);
     }
     if (!same_incarnation) {
+        crashes_.on_process_ended(latest.identity);
         known->second.target->guarded().set_leaving();
         add_target(message);
         return absl::OkStatus();
@@ -198,6 +198,7 @@
             return absl::FailedPreconditionError("target " + entry->first +
                                                  " started later at the same address");
         }
+        crashes_.on_process_ended(entry->second.latest.identity);
         entry->second.target->guarded().set_leaving();
         const managed_target_fact fact = make_target_fact(entry->second, true);
         {
@@ -239,6 +240,7 @@
 void target_manager::record_departure(const target_identity& target) {
     std::uint64_t& latest = departed_incarnations_[target.name];
     latest = std::max(latest, target.incarnation);
+    crashes_.on_departure(target);
 }
 
 void target_manager::add_target(const announcement& message) {
@@ -420,41 +422,7 @@
         }
         assess_run(*target, end);
     }
-    const std::uint64_t fingerprint = end.run.head.fingerprint;
-    if (end.result.error == error_kind::none) {
-        if (quarantine_.on_success(fingerprint)) {
-            log_event(event_level::info, "quarantine_ended",
-                      {{"fingerprint", fingerprint}, {"request_id", end.run.head.request_id}});
-        }
-        return;
-    }
-    if (!end.result.target_crashed) {
-        return;
-    }
-    const crash_report crash{fingerprint, end.run.target.identity()};
-    const crash_verdict verdict = quarantine_.on_crash(crash);
-    log_event(event_level::warning, "target_crash",
-              {{"target", crash.target.name},
-               {"request_id", end.run.head.request_id},
-               {"fingerprint", fingerprint},
-               {"quarantined", verdict == crash_verdict::quarantine}});
-    if (verdict == crash_verdict::quarantine) {
-        record_quarantine(end.run.head.service, crash);
-    }
-    hooks_.target_crashed(end.run, fingerprint);
-}
-
-void target_manager::record_quarantine(const std::string& service, const crash_report& crash) {
-    decision_record record;
-    record.subject = decision_subject::service;
-    record.id = service;
-    record.service = service;
-    record.decision = "quarantined";
-    record.rule = "crashes on different targets within the window";
-    record.evidence = {{"fingerprint", std::to_string(crash.fingerprint)}, {"target", crash.target.name}};
-    decisions_.add(std::move(record));
-    log_event(event_level::warning, "quarantined",
-              {{"service", service}, {"fingerprint", crash.fingerprint}, {"target", crash.target.name}});
+    crashes_.on_run_ended(end);
 }
 
 void target_manager::assess_run(managed_target& target, const gate_run_end& end) {
--- a/modules/node/target_manager.h
+++ b/modules/node/target_manager.h
@@ -16,13 +16,12 @@
 #include "absl/status/status.h"
 #include "core/clock.h"
 #include "core/rcu_cell.h"
+#include "modules/node/crash_recorder.h"
 #include "modules/proxy/gate.h"
 #include "modules/proxy/guarded_target.h"
 #include "servers/admission/fleet_retry_budget.h"
-#include "servers/health/crash_quarantine.h"
 #include "servers/health/failure_filter.h"
 #include "servers/health/target_outlier_detector.h"
-#include "servers/records/decision_log.h"
 #include "servers/routing/ejector.h"
 #include "servers/routing/name_map.h"
 
@@ -110,8 +109,8 @@
     std::function<service_admission(std::string_view service)> admission_of;
     /// Called on the control thread when a target is added, changes or is removed.
     std::function<void(const managed_target_fact&)> target_changed;
-    /// Called, on any thread, when a request crashed a target.
-    std::function<void(const gate_run&, std::uint64_t fingerprint)> target_crashed;
+    /// Called, on any thread, for each request that ran when a target crashed.
+    crash_recorder::crash_hook target_crashed;
 };
 
 /// Manages the targets that announce themselves to this node.
@@ -151,9 +150,8 @@
     bool count_arrival(const request_head& head, const guarded_target& target);
     void on_run_started(const gate_run& run);
     void on_run_ended(const gate_run_end& end);
-    /// Records and logs a quarantine that this crash decided here.
-    void record_quarantine(const std::string& service, const crash_report& crash);
-    crash_quarantine& quarantine() { return quarantine_; }
+    crash_recorder& crashes() { return crashes_; }
+    crash_quarantine& quarantine() { return crashes_.quarantine(); }
 
     // Queries for any thread.
     /// Returns true when the retry budget of the target admits the request, which is a retry or may be caused
@@ -190,11 +188,10 @@
 
     const time_source& clock_;
     const target_manager_hooks hooks_;
-    decision_log& decisions_;
     const std::chrono::milliseconds renewal_limit_;
     const std::optional<fleet_retry_budget_options> retry_budget_;
     work_estimator* const estimator_;  ///< Null without cost-aware routing.
-    crash_quarantine quarantine_;
+    crash_recorder crashes_;
     rcu_cell<target_map> targets_;
     mutable std::mutex mutex_;
     std::map<std::string, target_entry, std::less<>> entries_;
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -101,6 +101,9 @@
     execution_state execution = execution_state::run;
     bool head_written = false;    ///< The answer has started, so that no other attempt can replace it.
     bool target_crashed = false;  ///< The connection was lost after the request was sent.
+    /// The connection was lost after the request was sent, but the target still accepts connections. Not sent
+    /// to other nodes.
+    bool answer_lost = false;
     unsigned answer_status = 0;  ///< HTTP status of the target's answer; 0 without an answer.
     std::string detail;          ///< One sentence for logs and the explain query.
     std::optional<load_report> load;
--- a/tests/modules/node/target_manager_test.cpp
+++ b/tests/modules/node/target_manager_test.cpp
@@ -21,7 +21,7 @@
         clock,
         {.admission_of = [](std::string_view) { return service_admission{}; },
          .target_changed = [this](const managed_target_fact& fact) { facts.push_back(fact); },
-         .target_crashed = [](const gate_run&, std::uint64_t) {}},
+         .target_crashed = [](const std::string&, const crash_report&) {}},
         decisions};
 
     absl::Status announce(target_lifecycle state, std::uint64_t sequence, std::uint64_t incarnation = 7) {
