Accept accounts whose keys were all withdrawn

The operator withdraws all keys of an account this way. The decoder refused the whole document, so the withdrawn keys stayed in use and later versions were refused too. Change: an empty list of keys is valid, and one log line names such accounts.

--- a/modules/node/configuration_feed.cpp
+++ b/modules/node/configuration_feed.cpp
@@ -156,6 +156,10 @@
                {"origin", origin},
                {"routes", decoded->rows->routes().size()},
                {"accounts", decoded->accounts->size()}});
+    if (const auto& names = decoded->accounts->names_without_keys(); !names.empty()) {
+        log_event(event_level::warning, "accounts_without_keys",
+                  {{"version", decoded->version}, {"count", names.size()}, {"first", names.front()}});
+    }
     current_ = *std::move(decoded);
     if (reading_ && !overtaken_at_ && origin != store_origin) {
         overtaken_at_ = clock_.now();
--- a/servers/admission/account_directory.cpp
+++ b/servers/admission/account_directory.cpp
@@ -73,9 +73,6 @@
     if (account.name.empty() || account.name.size() > max_name_bytes || !is_header_value(account.name)) {
         return absl::InvalidArgumentError("an account name is empty, too long or contains a control byte");
     }
-    if (account.keys.empty()) {
-        return invalid_account(account.name, "has no keys");
-    }
     if (std::any_of(account.keys.begin(), account.keys.end(),
                     [](const std::string& key) { return key.empty(); })) {
         return invalid_account(account.name, "has an empty key");
@@ -123,6 +120,9 @@
     }
     // Separate strings take about 64 bytes more for each key than one text.
     for (client_account& account : accounts_) {
+        if (account.keys.empty()) {
+            names_without_keys_.push_back(account.name);
+        }
         std::vector<std::string>().swap(account.keys);  // An assignment would keep the memory.
     }
     return absl::OkStatus();
--- a/servers/admission/account_directory.h
+++ b/servers/admission/account_directory.h
@@ -33,7 +33,7 @@
     account_directory() = default;
 
     /// Builds a directory. InvalidArgument: an account without a name, with a name that is no header value,
-    /// without keys or with an empty key, two accounts with one name or one key, a negative or infinite
+    /// with an empty key, two accounts with one name or one key, a negative or infinite
     /// quota, or a burst without a rate. The message contains no key.
     static absl::StatusOr<std::shared_ptr<const account_directory>> make(
         std::vector<client_account> accounts);
@@ -44,6 +44,8 @@
     [[nodiscard]] const client_account* find(std::string_view name) const;
     [[nodiscard]] bool empty() const { return accounts_.empty(); }
     [[nodiscard]] std::size_t size() const { return accounts_.size(); }
+    /// Accounts whose keys were all withdrawn; nobody can use them until a later version adds a key.
+    [[nodiscard]] const std::vector<std::string>& names_without_keys() const { return names_without_keys_; }
 
 private:
     /// A key, whose text ends where the text of the next entry begins.
@@ -61,6 +63,7 @@
     std::vector<client_account> accounts_;  ///< By name.
     std::vector<key_entry> keys_;           ///< By hash.
     std::string key_text_;                  ///< All keys in the order of keys_.
+    std::vector<std::string> names_without_keys_;
 };
 
 }  // namespace teaselpitch
