--- a/modules/node/control_table.cpp
+++ b/modules/node/control_table.cpp
@@ -216,7 +216,8 @@
     using boost::asio::as_tuple;
     using boost::asio::use_awaitable;
     const steady_time end = context_.clock.now() + first_configuration_wait;
-    auto pending = std::make_shared<pending_calls>(0, boost::asio::steady_timer(control_io_));
+    auto pending = std::make_shared<pending_calls>(
+        pending_calls{.count = 0, .ended = boost::asio::steady_timer(control_io_)});
     while (!registered_peers_ && context_.clock.now() < end) {
         pending->ended.expires_after(registration_poll_interval);
         (void)co_await pending->ended.async_wait(as_tuple(use_awaitable));
