--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -203,8 +203,7 @@
     exchange_result result = co_await client->exchange(head, body, writer, permission);
     if (result.target_crashed) {
         // A sound target may close a connection or lose an answer; it then still accepts connections.
-        const endpoint address = target.address();
-        result.answer_lost = co_await accepts_connections(executor_, address, probe_timeout);
+        result.answer_lost = co_await accepts_connections(executor_, target.address(), probe_timeout);
         result.target_crashed = !result.answer_lost;
     }
     if (result.answer_lost) {
