--- a/tests/platform/account_document_test.cpp
+++ b/tests/platform/account_document_test.cpp
@@ -74,10 +74,13 @@
 {"resourceType":"services","metadata":{"name":"s"},"spec":{"healthPath":"/health"}})";
     for (int i = 0; i < count; ++i) {
         const std::string number = std::to_string(i);
-        text += R"(,{"resourceType":"routes","metadata":{"name":"r)" + number +
-                R"("},"spec":{"host":"h.example","pathPrefix":"/p)" + number +
-                R"(/","kind":"safe","timeoutMs":1000,"service":"s","public":)" +
-                (i % 2 == 0 ? "true" : "false") + "}}";
+        text.append(R"(,{"resourceType":"routes","metadata":{"name":"r)")
+            .append(number)
+            .append(R"("},"spec":{"host":"h.example","pathPrefix":"/p)")
+            .append(number)
+            .append(R"(/","kind":"safe","timeoutMs":1000,"service":"s","public":)")
+            .append(i % 2 == 0 ? "true" : "false")
+            .append("}}");
     }
     return text + "]}";
 }
--- a/tests/servers/admission/account_turns_test.cpp
+++ b/tests/servers/admission/account_turns_test.cpp
@@ -239,6 +239,7 @@
         const int demand = *rc::gen::inRange(100, 400);  // Capacity: about 200 requests per second.
         const int sum = std::accumulate(sizes.begin(), sizes.end(), 0);
         std::vector<double> rates;
+        rates.reserve(sizes.size());
         for (const int size : sizes) {
             rates.push_back(static_cast<double>(size) * demand / sum);
         }
--- a/tests/servers/admission/memory_budget_test.cpp
+++ b/tests/servers/admission/memory_budget_test.cpp
@@ -242,8 +242,10 @@
 BOOST_AUTO_TEST_CASE(threads_share_one_account) {
     manual_time_source clock;
     memory_budget budget(clock, {.capacity_bytes = std::size_t{1} << 30});
+    constexpr std::size_t thread_count = 4;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
+    threads.reserve(thread_count);
+    for (std::size_t i = 0; i < thread_count; ++i) {
         threads.emplace_back([&budget] {
             memory_account account(&budget, nullptr);
             for (int round = 0; round < 10'000; ++round) {
