--- a/main/standin_target/standin_work.cpp
+++ b/main/standin_target/standin_work.cpp
@@ -116,6 +116,9 @@
     const std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> state(XXH3_createState(),
                                                                                 XXH3_freeState);
     XXH3_64bits_reset(state.get());
+    // A target that reads slowly: /work?read_bytes_per_s=N.
+    const std::uint64_t bytes_per_s = parse_query_number(query, "read_bytes_per_s").value_or(0);
+    net::steady_timer pause(co_await net::this_coro::executor);
     for (;;) {
         const absl::StatusOr<std::size_t> size = co_await body.read_some(chunk);
         if (!size.ok()) {
@@ -127,6 +130,10 @@
         }
         XXH3_64bits_update(state.get(), chunk.data(), *size);
         body_bytes += *size;
+        if (bytes_per_s > 0) {
+            pause.expires_after(std::chrono::nanoseconds(std::chrono::seconds(1)) * *size / bytes_per_s);
+            co_await pause.async_wait(net::use_awaitable);
+        }
     }
 }
 
