Bound bodies and connections of the admin and readiness listeners

Seen: 30 callers that post 4 MB to the admin listener and stop seven bytes short take a node to 130.9 MB of 64 MB; with the 8 MB that it accepted on 1,024 connections, any machine runs out of memory. 600 idle connections open 618 of 256 descriptors, so that the callers' listener can accept none. Cause: limits fixed for tools with large bodies, which don't exist: the longest message there is an announcement. Change: a body has at most limits.admin_body_bytes (64 KiB; an announcement has less than 1 KB), more gets 413. The connections are bounded by limits.admin_connections (max_fds / 64, at least 8). At the bound, the connection whose latest complete request is the oldest gives way, so that a target that calls again is always heard. Kernel buffers of 32 KB as on the callers' listener. Metric teaselpitch_listener_limits_total, two rows of settings, one sign.

--- a/drivers/http/admin_server.cpp
+++ b/drivers/http/admin_server.cpp
@@ -7,8 +7,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <charconv>
 #include <chrono>
+#include <list>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <utility>
 
@@ -20,7 +20,6 @@
 
 constexpr std::chrono::seconds request_timeout{30};
 constexpr std::chrono::milliseconds accept_retry_delay{20};
-constexpr std::size_t max_connections = 1024;
 
 using request_message = http::request<http::string_body>;
 
@@ -57,18 +56,29 @@
 }  // namespace
 
 struct admin_server::state : std::enable_shared_from_this<admin_server::state> {
-    state(net::any_io_executor executor_in, endpoint listen_in, handler handle_in)
-        : executor(std::move(executor_in)), listen(std::move(listen_in)), handle(std::move(handle_in)) {}
+    struct connection {
+        explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+        beast::tcp_stream stream;
+        bool handling = false;  ///< The handler runs, or the connection is being closed.
+    };
+    using connection_list = std::list<std::shared_ptr<connection>>;
+
+    state(net::any_io_executor executor_in, admin_server_options options_in, handler handle_in)
+        : executor(std::move(executor_in)), options(std::move(options_in)), handle(std::move(handle_in)) {}
 
     awaitable<void> accept_loop();
-    awaitable<void> serve_connection(std::shared_ptr<beast::tcp_stream> stream);
+    void start_connection(tcp::socket socket);
+    bool make_room();
+    awaitable<void> serve_connection(connection_list::iterator position);
     awaitable<admin_response> run_handler(admin_request request);
+    void note_limit(admin_limit limit) const;
 
     net::any_io_executor executor;
-    endpoint listen;
+    const admin_server_options options;
     handler handle;
     std::optional<tcp::acceptor> acceptor;
-    std::set<std::shared_ptr<beast::tcp_stream>> streams;
+    connection_list connections;  ///< In the order of their latest requests, the oldest first.
 };
 
 awaitable<void> admin_server::state::accept_loop() {
@@ -79,15 +89,46 @@
         if (!acceptor.has_value()) {
             co_return;
         }
-        if (error || streams.size() >= max_connections) {
+        if (error) {
             timer.expires_after(accept_retry_delay);
             co_await timer.async_wait(tuple_awaitable);
             continue;
         }
-        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-        streams.insert(stream);
-        net::co_spawn(executor, serve_connection(stream),
-                      [self, stream](const std::exception_ptr&) { self->streams.erase(stream); });
+        start_connection(std::move(socket));
+    }
+}
+
+void admin_server::state::start_connection(tcp::socket socket) {
+    if (connections.size() >= options.max_connections) {
+        note_limit(admin_limit::connections);
+        if (!make_room()) {
+            return;
+        }
+    }
+    const auto position =
+        connections.insert(connections.end(), std::make_shared<connection>(std::move(socket)));
+    net::co_spawn(executor, serve_connection(position),
+                  [self = shared_from_this(), position](const std::exception_ptr&) {
+                      self->connections.erase(position);
+                  });
+}
+
+// Closes the connection whose latest request is the oldest; false when the handler runs for all of them. The
+// closed one leaves the list when its coroutine ends, so it is marked until then.
+bool admin_server::state::make_room() {
+    const auto found = std::find_if(connections.begin(), connections.end(),
+                                    [](const auto& candidate) { return !candidate->handling; });
+    if (found == connections.end()) {
+        return false;
+    }
+    (*found)->handling = true;
+    (*found)->stream.close();
+    return true;
+}
+
+void admin_server::state::note_limit(admin_limit limit) const {
+    if (options.limit_met) {
+        options.limit_met(limit);
     }
 }
 
@@ -99,18 +140,20 @@
     }
 }
 
-awaitable<void> admin_server::state::serve_connection(std::shared_ptr<beast::tcp_stream> stream) {
+awaitable<void> admin_server::state::serve_connection(connection_list::iterator position) {
     const auto self = shared_from_this();
+    const std::shared_ptr<connection> current = *position;
+    beast::tcp_stream& stream = current->stream;
     error_code ignored;
-    const tcp::endpoint remote = stream->socket().remote_endpoint(ignored);
+    const tcp::endpoint remote = stream.socket().remote_endpoint(ignored);
     const endpoint peer{remote.address().to_string(), remote.port()};
     beast::flat_buffer buffer(max_unparsed_bytes);
     bool keep_open = true;
     while (keep_open) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(max_body_bytes);
-        stream->expires_after(request_timeout);
-        auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, tuple_awaitable);
+        parser.body_limit(options.max_body_bytes);
+        stream.expires_after(request_timeout);
+        auto [read_error, read] = co_await http::async_read(stream, buffer, parser, tuple_awaitable);
         admin_response response;
         unsigned version = 11;
         if (read_error == http::error::end_of_stream || (read_error && !parser.got_some())) {
@@ -118,35 +161,43 @@
         }
         if (read_error) {
             const bool too_large = read_error == http::error::body_limit;
+            if (too_large) {
+                note_limit(admin_limit::body_size);
+            }
             response = make_error_response(too_large ? 413 : 400, read_error.message());
             keep_open = false;
         } else {
             version = parser.get().version();
             keep_open = parser.get().keep_alive();
-            stream->expires_never();
+            stream.expires_never();
+            current->handling = true;
+            connections.splice(connections.end(), connections, position);
             response = co_await run_handler(make_admin_request(parser.get(), peer));
+            current->handling = false;
         }
         const auto message = make_http_message(std::move(response), version, keep_open);
-        stream->expires_after(request_timeout);
-        auto [write_error, written] = co_await http::async_write(*stream, message, tuple_awaitable);
+        stream.expires_after(request_timeout);
+        auto [write_error, written] = co_await http::async_write(stream, message, tuple_awaitable);
         keep_open = keep_open && !write_error;
     }
-    stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-admin_server::admin_server(net::any_io_executor executor, endpoint listen, handler handle)
-    : state_(std::make_shared<state>(std::move(executor), std::move(listen), std::move(handle))) {}
+admin_server::admin_server(net::any_io_executor executor, admin_server_options options, handler handle)
+    : state_(std::make_shared<state>(std::move(executor), std::move(options), std::move(handle))) {}
 
 admin_server::~admin_server() {
     stop();
 }
 
 absl::StatusOr<endpoint> admin_server::start() {
-    absl::StatusOr<tcp::acceptor> acceptor = open_acceptor(state_->executor, state_->listen, false);
+    const admin_server_options& options = state_->options;
+    absl::StatusOr<tcp::acceptor> acceptor = open_acceptor(state_->executor, options.listen, false);
     if (!acceptor.ok()) {
         return acceptor.status();
     }
-    const endpoint bound{state_->listen.address, acceptor->local_endpoint().port()};
+    set_buffer_sizes(*acceptor, options.socket_buffer_bytes);
+    const endpoint bound{options.listen.address, acceptor->local_endpoint().port()};
     state_->acceptor.emplace(*std::move(acceptor));
     net::co_spawn(state_->executor, state_->accept_loop(), net::detached);
     return bound;
@@ -154,9 +205,9 @@
 
 void admin_server::stop() {
     state_->acceptor.reset();
-    const auto streams = state_->streams;
-    for (const auto& stream : streams) {
-        stream->close();
+    const auto connections = state_->connections;
+    for (const auto& connection : connections) {
+        connection->stream.close();
     }
 }
 
--- a/drivers/http/admin_server.h
+++ b/drivers/http/admin_server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,16 +28,29 @@
     std::string body;
 };
 
+/// Limits of an admin_server that a request or a connection met.
+enum class admin_limit : std::uint8_t {
+    connections,  ///< A connection was closed for a new one, or a new one was refused.
+    body_size,    ///< A request was refused because its body is too large.
+};
+
+struct admin_server_options {
+    endpoint listen;
+    std::size_t max_connections = 1024;
+    std::size_t max_body_bytes = std::size_t{64} * 1024;
+    /// Size of the kernel's buffers of a connection, each way; 0 leaves it to the system.
+    int socket_buffer_bytes = 0;
+    std::function<void(admin_limit)> limit_met = nullptr;
+};
+
 /// Small HTTP server for operator requests, announcements and metrics. Runs the requests of one connection
-/// one at a time; all calls run on the executor.
+/// one at a time; all calls run on the executor. At the maximum of connections, a new one replaces the
+/// one whose latest complete request is the oldest.
 class admin_server {
 public:
     using handler = std::function<boost::asio::awaitable<admin_response>(admin_request)>;
 
-    /// Maximum size of a request body, in bytes.
-    static constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
-
-    admin_server(boost::asio::any_io_executor executor, endpoint listen, handler handle);
+    admin_server(boost::asio::any_io_executor executor, admin_server_options options, handler handle);
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
     ~admin_server();
--- a/drivers/http/asio_types.cpp
+++ b/drivers/http/asio_types.cpp
@@ -49,6 +49,15 @@
     return acceptor;
 }
 
+void set_buffer_sizes(tcp::acceptor& acceptor, int bytes) {
+    if (bytes > 0) {
+        // Accepted connections inherit the sizes of the listener.
+        error_code ignored;
+        acceptor.set_option(tcp::socket::receive_buffer_size(bytes), ignored);
+        acceptor.set_option(tcp::socket::send_buffer_size(bytes), ignored);
+    }
+}
+
 void enable_keep_alive_probes(tcp::socket& socket) {
     using idle_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using interval_option = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
--- a/drivers/http/asio_types.h
+++ b/drivers/http/asio_types.h
@@ -36,6 +36,10 @@
 absl::StatusOr<tcp::acceptor> open_acceptor(const net::any_io_executor& executor, const endpoint& listen,
                                             bool reuse_port);
 
+/// Sets the sizes of the kernel's buffers of the connections that the listener accepts; 0 leaves them to the
+/// system.
+void set_buffer_sizes(tcp::acceptor& acceptor, int bytes);
+
 /// Enables TCP keep-alive probes, which fail an idle connection within about three seconds when the peer does
 /// not respond.
 void enable_keep_alive_probes(tcp::socket& socket);
--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -159,12 +159,7 @@
     if (!acceptor.ok()) {
         return acceptor.status();
     }
-    if (options.socket_buffer_bytes > 0) {
-        // Accepted connections inherit the sizes of the listener.
-        error_code ignored;
-        acceptor->set_option(tcp::socket::receive_buffer_size(options.socket_buffer_bytes), ignored);
-        acceptor->set_option(tcp::socket::send_buffer_size(options.socket_buffer_bytes), ignored);
-    }
+    set_buffer_sizes(*acceptor, options.socket_buffer_bytes);
     const endpoint bound{options.listen.address, acceptor->local_endpoint().port()};
     state_->acceptor.emplace(*std::move(acceptor));
     net::co_spawn(state_->executor, state_->accept_loop(), net::detached);
--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -18,6 +18,8 @@
 /// Below 64, the descriptors that a node needs for itself leave none for callers.
 constexpr integer_range max_fds_range{0, 10'000'000};
 constexpr std::size_t min_max_fds = 64;
+constexpr integer_range admin_connections_range{0, 10'000};
+constexpr integer_range admin_body_bytes_range{4 * 1024, 8 * 1024 * 1024};
 constexpr integer_range short_duration_range_ms{1, 60'000};
 constexpr integer_range long_duration_range_ms{1, 24 * 3'600'000};
 
@@ -124,6 +126,10 @@
         static_cast<std::uint64_t>(limits.integer_or("body_bytes", std::int64_t{1} << 30, body_bytes_range));
     out.memory_mb = static_cast<std::uint64_t>(limits.integer_or("memory_mb", 0, memory_mb_range));
     out.max_fds = static_cast<std::size_t>(limits.integer_or("max_fds", 0, max_fds_range));
+    out.admin_connections =
+        static_cast<std::size_t>(limits.integer_or("admin_connections", 0, admin_connections_range));
+    out.admin_body_bytes =
+        static_cast<std::size_t>(limits.integer_or("admin_body_bytes", 64 * 1024, admin_body_bytes_range));
     limits.reject_unknown_keys();
     if (out.memory_mb > 0 && out.memory_mb < min_memory_mb) {
         errors.push_back(
--- a/main/standin_target/standin_target.cpp
+++ b/main/standin_target/standin_target.cpp
@@ -53,7 +53,7 @@
     }
     if (options.control.has_value()) {
         control_server_ = std::make_unique<admin_server>(
-            executor_, *options.control,
+            executor_, admin_server_options{.listen = *options.control},
             [this](admin_request request) { return handle_control(std::move(request)); });
         const absl::StatusOr<endpoint> bound = control_server_->start();
         if (!bound.ok()) {
--- a/modules/node/caller_resources.cpp
+++ b/modules/node/caller_resources.cpp
@@ -37,6 +37,11 @@
     if (settings.max_fds > 0) {
         // Each caller connection may need one to a target; the last fifth is for other nodes and the store.
         connections_.emplace(settings.max_fds * 2 / 5);
+        // The targets of this instance, its operator and its monitoring need a few each.
+        admin_connections_ = std::max<std::size_t>(settings.max_fds / 64, 8);
+    }
+    if (settings.admin_connections > 0) {
+        admin_connections_ = settings.admin_connections;
     }
 }
 
--- a/modules/node/caller_resources.h
+++ b/modules/node/caller_resources.h
@@ -31,6 +31,8 @@
     [[nodiscard]] std::size_t read_ahead_bytes() const { return read_ahead_bytes_; }
     /// Receive window of one stream between nodes.
     [[nodiscard]] std::uint32_t stream_window_bytes() const { return stream_window_bytes_; }
+    /// Maximum number of connections of the admin listener, and of the readiness listener.
+    [[nodiscard]] std::size_t admin_connections() const { return admin_connections_; }
     /// Size of the kernel's buffers of a caller connection, each way; 0 leaves it to the system.
     [[nodiscard]] int socket_buffer_bytes() const { return memory_ ? 32 * 1024 : 0; }
 
@@ -40,6 +42,7 @@
     std::array<std::uint64_t, memory_action_count> reported_{};
     std::size_t read_ahead_bytes_;
     std::uint32_t stream_window_bytes_ = 262'144;
+    std::size_t admin_connections_ = 1024;
 };
 
 }  // namespace teaselpitch
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -26,13 +26,13 @@
       control_plane_(control_io_, context_, platform_,
                      {.limits_changed = [this](const caller_limits& limits) { set_caller_limits(limits); }}),
       admin_api_(context_, control_plane_, platform_, [this] { request_drain(); }),
-      admin_server_(control_io_.get_executor(), settings_.admin_listen,
+      admin_server_(control_io_.get_executor(), admin_options(settings_.admin_listen, "admin"),
                     [this](admin_request request) { return admin_api_.handle(std::move(request)); }),
       shard_threads_(settings_.threads) {
     if (settings_.store) {
         context_.has_configuration = false;
         readiness_server_ = std::make_unique<admin_server>(
-            control_io_.get_executor(), settings_.store->readiness_listen,
+            control_io_.get_executor(), admin_options(settings_.store->readiness_listen, "readiness"),
             [this](admin_request request) { return admin_api_.answer_readiness(std::move(request)); });
     }
     context_.target_changed = [this](const managed_target_fact& fact) {
@@ -44,6 +44,17 @@
     };
 }
 
+admin_server_options node::admin_options(const endpoint& listen, std::string_view listener) {
+    return {.listen = listen,
+            .max_connections = context_.resources.admin_connections(),
+            .max_body_bytes = settings_.admin_body_bytes,
+            .socket_buffer_bytes = context_.resources.socket_buffer_bytes(),
+            .limit_met = [this, listener](admin_limit limit) {
+                context_.metrics.count_listener_limit(
+                    listener, limit == admin_limit::connections ? "connections" : "body_size");
+            }};
+}
+
 node::~node() {
     // The shard threads must end before the objects that they use are destroyed.
     shard_threads_.stop();
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -34,6 +34,7 @@
     void request_drain();
     awaitable<void> watch_signals();
     awaitable<void> watch_settings();
+    admin_server_options admin_options(const endpoint& listen, std::string_view listener);
     void reload_settings(std::string_view reason);
     awaitable<void> drain();
     /// Cancels the timer when all shards have drained.
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -78,6 +78,8 @@
                                     "Expected divided by observed time of recent runs")),
       completion_choices_(register_gauges(registry_, "teaselpitch_completion_choices",
                                           "Choices of a target by expected completion since the start")),
+      listener_limits_(register_counters(registry_, "teaselpitch_listener_limits_total",
+                                         "Requests and connections that met a limit of a listener")),
       caller_memory_(register_gauge(registry_, "teaselpitch_caller_memory_bytes",
                                     "Bytes held for callers, as counted by the memory budget")),
       caller_connections_(
@@ -163,6 +165,10 @@
     completion_choices_.Add({{"zone", "other"}}).Set(static_cast<double>(other_zones));
 }
 
+void node_metrics::count_listener_limit(std::string_view listener, std::string_view limit) {
+    listener_limits_.Add({{"listener", std::string(listener)}, {"limit", std::string(limit)}}).Increment();
+}
+
 void node_metrics::set_caller_memory(std::size_t bytes) {
     caller_memory_.Set(static_cast<double>(bytes));
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -41,6 +41,8 @@
     void set_target_backlog(std::string_view target, double expected_wait_ms, double speed);
     void set_completion_choices(std::uint64_t local_zone, std::uint64_t other_zones);
     void set_dropped_events(std::uint64_t lines);
+    /// Counts a request or a connection that met a limit of a listener other than the callers'.
+    void count_listener_limit(std::string_view listener, std::string_view limit);
     void set_caller_memory(std::size_t bytes);
     void set_caller_connections(std::size_t count);
     /// Actions against callers because of a lack of memory or descriptors, since the start.
@@ -72,6 +74,7 @@
     prometheus::Family<prometheus::Gauge>& target_expected_wait_;
     prometheus::Family<prometheus::Gauge>& target_speed_;
     prometheus::Family<prometheus::Gauge>& completion_choices_;
+    prometheus::Family<prometheus::Counter>& listener_limits_;
     prometheus::Gauge& caller_memory_;
     prometheus::Gauge& caller_connections_;
     prometheus::Family<prometheus::Gauge>& pressure_actions_;
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -58,6 +58,8 @@
      "must be 0 (no bound) or at least 48"},
     {"too few descriptors", "seeds:", "limits: {max_fds: 63}\nseeds:", "limits.max_fds",
      "must be 0 (no bound) or at least 64"},
+    {"announcements would be refused", "seeds:", "limits: {admin_body_bytes: 1000}\nseeds:",
+     "limits.admin_body_bytes", "1000 is not in 4096..8388608"},
     {"unknown level", "seeds:", "log_level: loud\nseeds:", "log_level",
      "\"loud\" is not one of debug info warning error"},
 };
