--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -1,8 +1,6 @@
 #include "modules/node/target_manager.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <exception>
 #include <limits>
 #include <utility>
 
@@ -12,56 +10,6 @@
 namespace {
 
 constexpr unsigned first_server_error = 500;
-constexpr std::uint32_t max_slots = 100'000;
-
-std::string_view state_name(target_lifecycle state) {
-    switch (state) {
-        case target_lifecycle::starting:
-            return "starting";
-        case target_lifecycle::ready:
-            return "ready";
-        case target_lifecycle::leaving:
-            return "leaving";
-    }
-    return "unknown";
-}
-
-std::optional<target_lifecycle> parse_state(std::string_view text) {
-    for (const target_lifecycle state :
-         {target_lifecycle::starting, target_lifecycle::ready, target_lifecycle::leaving}) {
-        if (state_name(state) == text) {
-            return state;
-        }
-    }
-    return std::nullopt;
-}
-
-announcement parse_announcement_fields(const boost::json::object& object) {
-    announcement result;
-    const auto text = [&object](const char* key) { return std::string(object.at(key).as_string()); };
-    result.identity.name = text("name");
-    result.identity.incarnation = object.at("incarnation").to_number<std::uint64_t>();
-    result.service = text("service");
-    result.address = {text("address"), object.at("port").to_number<std::uint16_t>()};
-    result.slots = object.at("slots").to_number<std::uint32_t>();
-    const std::optional<target_lifecycle> state = parse_state(text("state"));
-    if (!state) {
-        throw std::invalid_argument("state must be one of starting, ready and leaving");
-    }
-    result.state = *state;
-    return result;
-}
-
-std::string find_fault(const announcement& message) {
-    if (message.identity.name.empty() || message.service.empty()) {
-        return "name and service must not be empty";
-    }
-    if (message.slots == 0 || message.slots > max_slots) {
-        return "slots must be in the range 1 to 100000";
-    }
-    const auto address = parse_remote_endpoint(to_string(message.address));
-    return address.ok() ? "" : std::string(address.status().message());
-}
 
 request_outcome outcome_of(const exchange_result& result, unsigned http_status) {
     if (result.target_crashed) {
@@ -86,20 +34,6 @@
 
 }  // namespace
 
-absl::StatusOr<announcement> parse_announcement(std::string_view json) {
-    announcement result;
-    try {
-        result = parse_announcement_fields(boost::json::parse(json).as_object());
-    } catch (const std::exception& error) {
-        return absl::InvalidArgumentError(std::string("invalid announcement: ") + error.what());
-    }
-    const std::string fault = find_fault(result);
-    if (!fault.empty()) {
-        return absl::InvalidArgumentError("invalid announcement: " + fault);
-    }
-    return result;
-}
-
 managed_target::managed_target(const time_source& clock, const announcement& first,
                                const admission_options& admission, const outlier_detection_options& detection,
                                const std::optional<fleet_retry_budget_options>& retry_budget,
@@ -266,7 +200,7 @@
                {"incarnation", message.identity.incarnation},
                {"service", message.service},
                {"slots", message.slots},
-               {"state", state_name(message.state)}});
+               {"state", to_string(message.state)}});
     hooks_.target_changed(make_target_fact(entries_.at(message.identity.name), false));
 }
 
@@ -296,7 +230,7 @@
     }
     log_event(
         event_level::info, "target_changed",
-        {{"target", message.identity.name}, {"slots", message.slots}, {"state", state_name(message.state)}});
+        {{"target", message.identity.name}, {"slots", message.slots}, {"state", to_string(message.state)}});
     hooks_.target_changed(make_target_fact(entry, false));
 }
 
