Reclaim the slots that callers keep waiting while others wait for them

Seen: eight callers whose uploads stall, trickle at 10 kB/s or move at 128 kB/s, who upload to a target that reads slowly, or who read an answer of 3 or 40 MB at 10 or 128 kB/s, keep all slots of a target: no ordinary GET is answered for 40 s, each is 503 at once, also through two nodes. Cause: beyond what the ingress reads ahead of a body or holds of an answer, a slot is taken for as long as its caller likes. Nothing asks whether others wait. The time counts as service time, so that the queue refuses everything else. Change: servers/admission/slot_loans decides at the gate. A slot is lent while its body is arriving or its answer is longer than what is held. While another request waits, a lent slot is reclaimed after three seconds of waiting for its caller that the bytes moved (64 kB/s) don't justify; a quarter of the slots, at least one, is kept for other requests while such come. The caller gets 504 caller_too_slow, execution unknown, or its answer is broken off; nothing promises not run once a byte has reached the target. The wait counts neither as service time nor as latency of the target. The head tells the gate that a body is arriving, and a hash of the caller's address.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -12,7 +12,7 @@
 constexpr auto not_run = execution_state::not_run;
 constexpr auto unknown = execution_state::unknown;
 
-constexpr std::array<error_answer, 33> answers{{
+constexpr std::array<error_answer, 34> answers{{
     {error_kind::none, "none", 200, execution_state::run, retry_advice::never, 0s, "The request was run."},
     {error_kind::malformed_request, "malformed_request", 400, not_run, retry_advice::never, 0s,
      "The request is not valid HTTP/1.1."},
@@ -76,6 +76,8 @@
      "The request has no key of a client account, or an unknown one."},
     {error_kind::memory_limited, "memory_limited", 503, not_run, retry_advice::later, 2s,
      "The node has no memory for the request."},
+    {error_kind::caller_too_slow, "caller_too_slow", 504, unknown, retry_advice::idempotent, 0s,
+     "The caller sent or read too slowly while others waited for the target; the request may have run."},
     {error_kind::internal, "internal", 500, unknown, retry_advice::idempotent, 0s,
      "An internal error occurred on the node."},
 }};
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -49,6 +49,7 @@
     retry_limited,
     unauthenticated,
     memory_limited,
+    caller_too_slow,
     internal,
 };
 
--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -33,6 +33,14 @@
     return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
+std::uint32_t hash_address(const net::ip::address& address) {
+    const auto hash = [](const auto& bytes) {
+        return static_cast<std::uint32_t>(
+            stable_hash({reinterpret_cast<const char*>(bytes.data()), bytes.size()}));
+    };
+    return address.is_v4() ? hash(address.to_v4().to_bytes()) : hash(address.to_v6().to_bytes());
+}
+
 error_kind body_error_kind(const absl::Status& status) {
     return status.code() == absl::StatusCode::kResourceExhausted ? error_kind::body_too_large
                                                                  : error_kind::malformed_request;
@@ -50,8 +58,10 @@
 
 }  // namespace
 
-caller_connection::caller_connection(tcp::socket socket, std::shared_ptr<caller_context> context)
+caller_connection::caller_connection(tcp::socket socket, const tcp::endpoint& peer,
+                                     std::shared_ptr<caller_context> context)
     : socket_(std::move(socket)),
+      caller_(hash_address(peer.address())),
       context_(std::move(context)),
       buffer_(max_unparsed_bytes),
       account_(context_->options.memory, context_.get()),
@@ -202,6 +212,7 @@
     if (head->request_id.empty()) {
         head->request_id = context_->new_request_id();
     }
+    head->caller = caller_;
     preferences_ = {.version = parser.get().version(), .keep_alive = parser.keep_alive()};
     if (account_.mark() == memory_mark::critical) {
         co_return co_await refuse_for_memory(*head, "the node holds as many bytes as it may");
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -25,7 +25,7 @@
 /// time.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(tcp::socket socket, std::shared_ptr<caller_context> context);
+    caller_connection(tcp::socket socket, const tcp::endpoint& peer, std::shared_ptr<caller_context> context);
 
     /// Serves requests until the connection ends.
     awaitable<void> run();
@@ -114,6 +114,7 @@
     awaitable<void> close_gracefully();
 
     tcp::socket socket_;
+    const std::uint32_t caller_;  ///< Hash of the caller's address.
     std::shared_ptr<caller_context> context_;
     beast::flat_buffer buffer_;
     memory_account account_;
--- a/drivers/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -20,7 +20,7 @@
           all_closed(executor, net::steady_timer::time_point::max()) {}
 
     awaitable<void> accept_loop();
-    void start_connection(tcp::socket socket);
+    void start_connection(tcp::socket socket, const tcp::endpoint& peer);
     void stop_accepting();
     static awaitable<void> watch_memory(std::weak_ptr<state> weak, net::any_io_executor executor);
     bool make_room();
@@ -41,7 +41,8 @@
             co_await timer.async_wait(tuple_awaitable);
             continue;
         }
-        auto [error, socket] = co_await acceptor->async_accept(tuple_awaitable);
+        tcp::endpoint peer;
+        auto [error, socket] = co_await acceptor->async_accept(peer, tuple_awaitable);
         if (!acceptor.has_value()) {
             co_return;
         }
@@ -51,7 +52,7 @@
             co_await timer.async_wait(tuple_awaitable);
             continue;
         }
-        start_connection(std::move(socket));
+        start_connection(std::move(socket), peer);
     }
 }
 
@@ -91,7 +92,7 @@
     return longest != nullptr;
 }
 
-void caller_server::state::start_connection(tcp::socket socket) {
+void caller_server::state::start_connection(tcp::socket socket, const tcp::endpoint& peer) {
     error_code ignored;
     connection_share* share = context->options.connections;
     if (share != nullptr && !share->open()) {
@@ -105,7 +106,7 @@
     }
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    const auto connection = std::make_shared<caller_connection>(std::move(socket), context);
+    const auto connection = std::make_shared<caller_connection>(std::move(socket), peer, context);
     context->connections.insert(connection);
     net::co_spawn(executor, connection->run(),
                   [self = shared_from_this(), connection](const std::exception_ptr&) {
@@ -130,9 +131,10 @@
     // Closing the listener would reset the connections that are still in its accept queue.
     while (!error) {
         tcp::socket socket(executor);
-        acceptor->accept(socket, error);
+        tcp::endpoint peer;
+        acceptor->accept(socket, peer, error);
         if (!error) {
-            start_connection(std::move(socket));
+            start_connection(std::move(socket), peer);
         }
     }
     acceptor.reset();
--- a/drivers/peer/head_codec.cpp
+++ b/drivers/peer/head_codec.cpp
@@ -118,6 +118,8 @@
     message.set_no_queue(!head.may_queue);
     message.set_repeat(head.is_retry);
     message.set_inherited_repeat(head.inherited_retry_probability);
+    message.set_body_arriving(head.body_arriving);
+    message.set_caller(head.account.empty() ? head.caller : 0);
     return encode_field(message);
 }
 
@@ -161,6 +163,8 @@
     head.may_queue = !message->no_queue();
     head.is_retry = message->repeat();
     head.inherited_retry_probability = message->inherited_repeat();
+    head.body_arriving = message->body_arriving();
+    head.caller = message->caller();
     return head;
 }
 
--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -90,6 +90,10 @@
         static_cast<std::size_t>(routing.integer_or("held_answer_bytes", 64 * 1024, {0, max_buffer_bytes}));
     out.free_slot_hops = static_cast<std::uint32_t>(routing.integer_or("free_slot_hops", 2, {0, 16}));
     out.cost_aware = routing.boolean_or("cost_aware", false);
+    out.caller_patience = routing.milliseconds_or("caller_patience_ms", 3s, {100, 3'600'000});
+    out.caller_min_bytes_per_s =
+        static_cast<std::uint64_t>(routing.integer_or("caller_min_bytes_per_s", 64'000, {1, 1'000'000'000}));
+    out.kept_slot_share = routing.number_or("kept_slot_share", 0.25, 0.0, 0.9);
     out.retry_floor_per_s = routing.number_or("retry_floor_per_s", 1.0, 0.0, 1'000.0);
     if (routing.has("fleet_retries")) {
         settings_section retry_section = routing.section("fleet_retries");
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -86,6 +86,12 @@
     std::uint32_t free_slot_hops = 0;
     /// Chooses targets by expected completion, and shares full gates fairly between client accounts.
     bool cost_aware = false;
+    /// Time that a target's slot waits for its caller before it may be reclaimed for another request.
+    std::chrono::milliseconds caller_patience{};
+    /// A caller that sends or reads this many bytes a second uses up no patience.
+    std::uint64_t caller_min_bytes_per_s = 0;
+    /// Share of a target's slots that is not lent to slow callers while other requests ask for them.
+    double kept_slot_share = 0;
     /// Retries of a service that this node may always send, even without successful requests.
     double retry_floor_per_s = 0;
     /// Retry budget that all nodes share; empty when each node has its own budget.
--- a/modules/node/control_plane.cpp
+++ b/modules/node/control_plane.cpp
@@ -160,6 +160,7 @@
     update_retry_budgets();
     context_.metrics.set_dropped_events(dropped_event_count());
     context_.resources.report(context_.metrics);
+    loan_report_.on_second_tick(context_.targets.all(), context_.metrics);
     for (outgoing_digest& message : health_.on_second_tick()) {
         spawn(send_digest(std::move(message)), "digest");
     }
--- a/modules/node/control_plane.h
+++ b/modules/node/control_plane.h
@@ -22,6 +22,7 @@
 #include "modules/node/node_context.h"
 #include "modules/node/node_platform.h"
 #include "modules/node/node_registration.h"
+#include "modules/node/slot_loan_report.h"
 #include "servers/health/crash_exchange.h"
 #include "servers/membership/table_catch_up.h"
 #include "servers/table/table_replica.h"
@@ -139,6 +140,7 @@
     log_client log_;
     log_follower follower_;
     peer_pool peers_;
+    slot_loan_report loan_report_;
     fleet_membership fleet_;
     health_exchange health_;
     crash_exchange crashes_;
--- a/modules/node/node_context.cpp
+++ b/modules/node/node_context.cpp
@@ -1,5 +1,6 @@
 #include "modules/node/node_context.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselpitch {
@@ -27,6 +28,15 @@
                                       .min_target_count = 4};
 }
 
+slot_loan_options slot_loan_options_of(const node_settings& settings) {
+    slot_loan_options options;
+    options.patience = settings.caller_patience;
+    options.repeated_patience = std::min(options.repeated_patience, options.patience);
+    options.min_bytes_per_s = settings.caller_min_bytes_per_s;
+    options.kept_share = settings.kept_slot_share;
+    return options;
+}
+
 /// Announcements may arrive seconds late, so a target is removed only after several heartbeats were missed.
 std::chrono::milliseconds renewal_limit_of(const node_settings& settings) {
     constexpr int missed_heartbeats = 4;
@@ -64,7 +74,7 @@
            .target_crashed = [this](const std::string& service,
                                     const crash_report& crash) { target_crashed(service, crash); }},
           decisions, renewal_limit_of(settings), retry_budget_options_of(settings),
-          costs ? &costs->estimator() : nullptr),
+          costs ? &costs->estimator() : nullptr, slot_loan_options_of(settings)),
       accounts(clock, self, [this] { return routing.read(); }),
       account_keys(clock, {.fail_closed = settings.accounts_fail_closed,
                            .revoke_after = settings.accounts_revoke_after}),
--- a/modules/node/node_metrics.cpp
+++ b/modules/node/node_metrics.cpp
@@ -80,6 +80,10 @@
                                           "Choices of a target by expected completion since the start")),
       listener_limits_(register_counters(registry_, "teaselpitch_listener_limits_total",
                                          "Requests and connections that met a limit of a listener")),
+      lent_slots_(register_gauges(registry_, "teaselpitch_lent_slots",
+                                  "Slots of a target that their callers' speed keeps taken")),
+      reclaimed_slots_(register_gauges(registry_, "teaselpitch_lent_slots_ended_total",
+                                       "Slots reclaimed from callers, and loans refused, by reason")),
       caller_memory_(register_gauge(registry_, "teaselpitch_caller_memory_bytes",
                                     "Bytes held for callers, as counted by the memory budget")),
       caller_connections_(
@@ -169,6 +173,17 @@
     listener_limits_.Add({{"listener", std::string(listener)}, {"limit", std::string(limit)}}).Increment();
 }
 
+void node_metrics::set_slot_loans(std::string_view target, const slot_loan_load& load) {
+    const std::string name(target);
+    lent_slots_.Add({{"target", name}}).Set(load.lent);
+    const auto set = [&](const char* reason, std::uint64_t count) {
+        reclaimed_slots_.Add({{"target", name}, {"reason", reason}}).Set(static_cast<double>(count));
+    };
+    set("slow_caller", load.reclaimed[static_cast<std::size_t>(reclaim_reason::slow_caller)]);
+    set("share", load.reclaimed[static_cast<std::size_t>(reclaim_reason::share)]);
+    set("refused", load.refused);
+}
+
 void node_metrics::set_caller_memory(std::size_t bytes) {
     caller_memory_.Set(static_cast<double>(bytes));
 }
--- a/modules/node/node_metrics.h
+++ b/modules/node/node_metrics.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "core/error_kind.h"
+#include "servers/admission/slot_loans.h"
 
 namespace teaselpitch {
 
@@ -43,6 +44,7 @@
     void set_dropped_events(std::uint64_t lines);
     /// Counts a request or a connection that met a limit of a listener other than the callers'.
     void count_listener_limit(std::string_view listener, std::string_view limit);
+    void set_slot_loans(std::string_view target, const slot_loan_load& load);
     void set_caller_memory(std::size_t bytes);
     void set_caller_connections(std::size_t count);
     /// Actions against callers because of a lack of memory or descriptors, since the start.
@@ -75,6 +77,8 @@
     prometheus::Family<prometheus::Gauge>& target_speed_;
     prometheus::Family<prometheus::Gauge>& completion_choices_;
     prometheus::Family<prometheus::Counter>& listener_limits_;
+    prometheus::Family<prometheus::Gauge>& lent_slots_;
+    prometheus::Family<prometheus::Gauge>& reclaimed_slots_;
     prometheus::Gauge& caller_memory_;
     prometheus::Gauge& caller_connections_;
     prometheus::Family<prometheus::Gauge>& pressure_actions_;
--- a/modules/node/target_manager.cpp
+++ b/modules/node/target_manager.cpp
@@ -26,6 +26,7 @@
         case error_kind::body_too_large:
         case error_kind::malformed_request:
         case error_kind::target_refused:
+        case error_kind::caller_too_slow:
             return request_outcome::cancelled;
         default:
             return request_outcome::failure;
@@ -37,8 +38,8 @@
 managed_target::managed_target(const time_source& clock, const announcement& first,
                                const admission_options& admission, const outlier_detection_options& detection,
                                const std::optional<fleet_retry_budget_options>& retry_budget,
-                               work_estimator* estimator)
-    : guarded_(clock, first.identity, first.service, first.address, admission, estimator),
+                               work_estimator* estimator, const slot_loan_options& loan_options)
+    : guarded_(clock, first.identity, first.service, first.address, admission, estimator, loan_options),
       outlier_detector_(clock, first.identity.name, detection),
       failures_(clock, failure_filter_options{}) {
     if (retry_budget) {
@@ -61,12 +62,13 @@
 target_manager::target_manager(const time_source& clock, target_manager_hooks hooks, decision_log& decisions,
                                std::chrono::milliseconds renewal_limit,
                                std::optional<fleet_retry_budget_options> retry_budget,
-                               work_estimator* estimator)
+                               work_estimator* estimator, const slot_loan_options& loan_options)
     : clock_(clock),
       hooks_(std::move(hooks)),
       renewal_limit_(renewal_limit),
       retry_budget_(retry_budget),
       estimator_(estimator),
+      loan_options_(loan_options),
       crashes_(clock, decisions, hooks_.target_crashed),
       targets_(std::make_shared<const target_map>()) {}
 
@@ -185,7 +187,7 @@
     admission.fair_accounts = estimator_ != nullptr;
     auto target = std::make_shared<managed_target>(clock_, message, admission,
                                                    outlier_detection_options_for(rules.policy, message.slots),
-                                                   retry_budget_, estimator_);
+                                                   retry_budget_, estimator_, loan_options_);
     if (message.state == target_lifecycle::leaving || leaving_) {
         target->guarded().set_leaving();
     }
--- a/modules/node/target_manager.h
+++ b/modules/node/target_manager.h
@@ -33,7 +33,8 @@
 public:
     managed_target(const time_source& clock, const announcement& first, const admission_options& admission,
                    const outlier_detection_options& detection,
-                   const std::optional<fleet_retry_budget_options>& retry_budget, work_estimator* estimator);
+                   const std::optional<fleet_retry_budget_options>& retry_budget, work_estimator* estimator,
+                   const slot_loan_options& loan_options);
 
     guarded_target& guarded() { return guarded_; }
     target_outlier_detector& outlier_detector() { return outlier_detector_; }
@@ -95,7 +96,7 @@
     target_manager(const time_source& clock, target_manager_hooks hooks, decision_log& decisions,
                    std::chrono::milliseconds renewal_limit = default_renewal_limit,
                    std::optional<fleet_retry_budget_options> retry_budget = std::nullopt,
-                   work_estimator* estimator = nullptr);
+                   work_estimator* estimator = nullptr, const slot_loan_options& loan_options = {});
 
     // Commands for the control thread.
     absl::Status on_announcement(const announcement& message);
@@ -164,6 +165,7 @@
     const std::chrono::milliseconds renewal_limit_;
     const std::optional<fleet_retry_budget_options> retry_budget_;
     work_estimator* const estimator_;  ///< Null without cost-aware routing.
+    const slot_loan_options loan_options_;
     crash_recorder crashes_;
     rcu_cell<target_map> targets_;
     mutable std::mutex mutex_;
--- a/modules/proxy/gate.h
+++ b/modules/proxy/gate.h
@@ -8,6 +8,7 @@
 
 #include "core/clock.h"
 #include "modules/proxy/guarded_target.h"
+#include "modules/proxy/slot_loan.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
@@ -55,11 +56,17 @@
     std::function<void(const request_head&, const exchange_result&)> refused;
 };
 
+struct gate_options {
+    /// Longest answer that the ingress holds. A longer one is sent at the speed of the caller.
+    std::size_t held_answer_bytes = std::size_t{64} * 1024;
+};
+
 /// Admits requests to the targets that this node guards. The gate refuses a request before any byte is sent
 /// to the target, and leaves the body unread. Each shard has its own gate; the guarded targets are shared.
 class gate final : public exchange_handler {
 public:
-    gate(const time_source& clock, std::atomic<ticket_id>& tickets, gate_hooks hooks);
+    gate(const time_source& clock, std::atomic<ticket_id>& tickets, gate_hooks hooks,
+         gate_options options = {});
 
     awaitable<exchange_result> exchange(const request_head& head, body_reader& body,
                                         response_writer& writer) override;
@@ -73,14 +80,16 @@
     awaitable<exchange_result> admit_and_run(const std::shared_ptr<guarded_target>& target,
                                              const request_head& head, body_reader& body,
                                              response_writer& writer, const write_permission& permission);
-    awaitable<exchange_result> run(guarded_target& target, const gate_run& started, body_reader& body,
-                                   response_writer& writer, const write_permission& permission);
+    awaitable<exchange_result> run(guarded_target& target, const gate_run& started, slot_loan& loan,
+                                   body_reader& body, response_writer& writer,
+                                   const write_permission& permission);
     exchange_result refuse(const request_head& head, const guarded_target* target, error_kind error,
                            std::string_view detail, std::chrono::milliseconds retry_after) const;
 
     const time_source& clock_;
     std::atomic<ticket_id>& tickets_;
     const gate_hooks hooks_;
+    const gate_options options_;
 };
 
 }  // namespace teaselpitch
--- a/modules/proxy/guarded_target.cpp
+++ b/modules/proxy/guarded_target.cpp
@@ -5,11 +5,13 @@
 namespace teaselpitch {
 
 guarded_target::guarded_target(const time_source& clock, target_identity identity, std::string service,
-                               endpoint address, const admission_options& options, work_estimator* estimator)
+                               endpoint address, const admission_options& options, work_estimator* estimator,
+                               const slot_loan_options& loan_options)
     : identity_(std::move(identity)),
       service_(std::move(service)),
       address_(std::move(address)),
-      queue_(clock, options) {
+      queue_(clock, options),
+      loans_(clock, loan_options) {
     if (estimator != nullptr) {
         backlog_.emplace(clock, *estimator);
     }
@@ -17,6 +19,15 @@
 
 offer_result guarded_target::offer(ticket_id ticket, const admission_request& request) {
     offer_result result = queue_.offer(ticket, request);
+    if (result.outcome != offer_outcome::admitted && !loans_.empty()) {
+        const bool refused = result.outcome == offer_outcome::refused;
+        if (reclaim_slots(refused ? 1 : 0) && refused && !request.may_queue) {
+            // A slot is about to become free, so this gate serves the request sooner than another one.
+            admission_request patient = request;
+            patient.may_queue = true;
+            result = queue_.offer(ticket, patient);
+        }
+    }
     for (const dropped_ticket& dropped : result.dropped) {
         forget(dropped.ticket);
         waiters_.notify(dropped.ticket, dropped);
@@ -44,9 +55,20 @@
     }
 }
 
-void guarded_target::release(ticket_id ticket) {
+void guarded_target::release(ticket_id ticket, std::chrono::nanoseconds waited_for_caller) {
     forget(ticket);
-    notify_waiters(queue_.release(ticket));
+    notify_waiters(queue_.release(ticket, waited_for_caller));
+}
+
+bool guarded_target::reclaim_slots(std::size_t further_requests) {
+    const admission_load load = queue_.load();
+    const std::size_t waiting = load.queued + further_requests;
+    bool any = false;
+    while (const std::optional<reclaimed_slot> slot = loans_.reclaim(load.slots, waiting)) {
+        any = true;
+        reclaims_.notify(slot->ticket, slot->reason);
+    }
+    return any;
 }
 
 void guarded_target::cancel(ticket_id ticket) {
@@ -56,6 +78,9 @@
 
 void guarded_target::on_tick() {
     notify_waiters(queue_.on_tick());
+    if (!loans_.empty()) {
+        reclaim_slots(0);
+    }
 }
 
 void guarded_target::set_slots(std::uint32_t slots) {
--- a/modules/proxy/guarded_target.h
+++ b/modules/proxy/guarded_target.h
@@ -11,6 +11,7 @@
 #include "core/identity.h"
 #include "modules/proxy/waiter_table.h"
 #include "servers/admission/admission_queue.h"
+#include "servers/admission/slot_loans.h"
 #include "servers/routing/target_backlog.h"
 
 namespace teaselpitch {
@@ -23,7 +24,8 @@
 class guarded_target {
 public:
     guarded_target(const time_source& clock, target_identity identity, std::string service, endpoint address,
-                   const admission_options& options, work_estimator* estimator = nullptr);
+                   const admission_options& options, work_estimator* estimator = nullptr,
+                   const slot_loan_options& loan_options = {});
 
     // Commands.
     /// Offers a request to the queue, and notifies the requests that were dropped in favour of it.
@@ -32,8 +34,9 @@
     offer_result offer(ticket_id ticket, const admission_request& request, const work_key& key);
     /// The target has answered, or failed, after `duration`. The slot is freed by release() or cancel().
     void on_run_end(ticket_id ticket, run_verdict verdict, std::chrono::nanoseconds duration);
-    /// Releases the slot of a finished request and notifies the requests that are admitted next.
-    void release(ticket_id ticket);
+    /// Releases the slot of a finished request and notifies the requests that are admitted next. The time for
+    /// which the slot waited for its caller does not count as service time.
+    void release(ticket_id ticket, std::chrono::nanoseconds waited_for_caller = std::chrono::nanoseconds{0});
     /// Removes a cancelled request, whether it is queued or running.
     void cancel(ticket_id ticket);
     /// Drops requests that waited too long. Must be called every few milliseconds.
@@ -49,6 +52,9 @@
     /// Sets whether the target failed its latest requests.
     void set_suspect(bool suspect) { suspect_.store(suspect, std::memory_order_relaxed); }
     waiter_table<admission_event>& waiters() { return waiters_; }
+    slot_loans& loans() { return loans_; }
+    /// Notifies the run whose slot is reclaimed.
+    waiter_table<reclaim_reason>& reclaims() { return reclaims_; }
 
     // Queries.
     [[nodiscard]] const target_identity& identity() const { return identity_; }
@@ -56,10 +62,14 @@
     [[nodiscard]] const endpoint& address() const { return address_; }
     [[nodiscard]] admission_load load() const { return queue_.load(); }
     [[nodiscard]] load_report report() const;
+    [[nodiscard]] slot_loan_load loan_load() const { return loans_.load(); }
     /// True when the expected work of the requests is estimated.
     [[nodiscard]] bool has_backlog() const { return backlog_.has_value(); }
 
 private:
+    /// Reclaims lent slots for the queued requests and for further ones; false when there was none to
+    /// reclaim.
+    bool reclaim_slots(std::size_t further_requests);
     void notify_waiters(const admission_change& change);
     void forget(ticket_id ticket);
 
@@ -68,6 +78,8 @@
     const endpoint address_;
     admission_queue queue_;
     waiter_table<admission_event> waiters_;
+    slot_loans loans_;
+    waiter_table<reclaim_reason> reclaims_;
     std::optional<target_backlog> backlog_;  ///< Empty without a work estimator.
     std::atomic<double> outlier_score_{0};
     std::atomic<bool> suspect_{false};
--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -124,6 +124,7 @@
             co_return failed_exchange(too_large ? error_kind::body_too_large : error_kind::malformed_request,
                                       std::string(read_status.message()));
         }
+        head.body_arriving = !body.is_complete();
     }
     head.fingerprint = request_fingerprint(head, body.buffered());
     const refusal refused = hooks_.admit(head);
--- a/modules/proxy/replayable_body.h
+++ b/modules/proxy/replayable_body.h
@@ -24,6 +24,8 @@
     /// Returns true while every byte that was read is buffered.
     [[nodiscard]] bool can_replay() const { return !read_past_buffer_; }
     [[nodiscard]] std::span<const std::byte> buffered() const { return buffered_; }
+    /// Returns true when the end of the body was received.
+    [[nodiscard]] bool is_complete() const { return source_ended_; }
 
 private:
     body_reader& source_;
--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -253,12 +253,13 @@
     return static_cast<std::size_t>(found - queue_.begin());
 }
 
-admission_change admission_queue::release(ticket_id ticket) {
+admission_change admission_queue::release(ticket_id ticket, nanoseconds waited_for_caller) {
     const std::lock_guard lock(mutex_);
     const steady_time now = clock_.now();
     const auto found = running_.find(ticket);
     if (found != running_.end()) {
-        update_service_time(found->second.work_class, now - found->second.started_at);
+        const nanoseconds taken = now - found->second.started_at;
+        update_service_time(found->second.work_class, std::max(taken - waited_for_caller, nanoseconds{0}));
         running_.erase(found);
     }
     return fill_free_slots(now);
--- a/servers/admission/admission_queue.h
+++ b/servers/admission/admission_queue.h
@@ -103,8 +103,10 @@
         return offer(ticket, {.deadline = deadline, .account = account});
     }
 
-    /// Frees the slot of an admitted ticket whose request has ended.
-    admission_change release(ticket_id ticket);
+    /// Frees the slot of an admitted ticket whose request has ended. The time for which the slot waited for
+    /// its caller does not count towards the service time estimates.
+    admission_change release(ticket_id ticket, std::chrono::nanoseconds waited_for_caller);
+    admission_change release(ticket_id ticket) { return release(ticket, std::chrono::nanoseconds{0}); }
 
     /// Removes a ticket in any state. Its run time does not count towards the service time estimates.
     admission_change cancel(ticket_id ticket);
--- a/servers/exchange/exchange.h
+++ b/servers/exchange/exchange.h
@@ -38,7 +38,10 @@
     std::vector<header_field> headers;            ///< End-to-end fields only, without hop-by-hop fields.
     std::optional<std::uint64_t> content_length;  ///< Bytes; empty for a chunked body.
     bool has_body = false;
+    /// The ingress has not received the whole body, so that its end depends on the caller.
+    bool body_arriving = false;
 
+    std::uint32_t caller = 0;     ///< Hash of the caller's address; 0 is unknown.
     std::string request_id;       ///< Unique for each request sent by a caller.
     std::string service;          ///< Set by routing.
     std::string account;          ///< Client account; empty when the caller sends none.
--- a/servers/routing/retry_policy.cpp
+++ b/servers/routing/retry_policy.cpp
@@ -8,7 +8,8 @@
 // Returns true for errors that an immediate attempt at another target may avoid. An overloaded gate refuses
 // for its own target only; the other kinds with the advice "later" apply to the whole fleet.
 bool is_retryable(error_kind kind) {
-    if (kind == error_kind::cancelled) {
+    // A further attempt would wait for the same caller.
+    if (kind == error_kind::cancelled || kind == error_kind::caller_too_slow) {
         return false;
     }
     const retry_advice advice = get_error_answer(kind).advice;
--- a/tests/main/pressure/held_slots.py
+++ b/tests/main/pressure/held_slots.py
@@ -14,7 +14,6 @@
 
 from pressure_fleet import ADDRESS, Fleet, request, wait_for_answer
 
-SLOTS = 2
 CROWD = 8
 TIMEOUT_MS = 600_000
 LINGER_S = 4
@@ -34,16 +33,19 @@
     return request("GET", "/work?bytes=%d" % size, "\r\n")
 
 
-# Case: head of the request, bytes of the body that are sent at once, bytes a second that are sent and read, number of nodes.
+# Case: head of the request, bytes of the body that are sent at once, bytes a second that are sent and read, number of
+# nodes, slots of the target.
 CASES = {
-    "stalled_uploads": (upload(2_000_000), 2_000_000 - MISSING_BYTES, 10, 1),
-    "trickling_uploads": (upload(4_000_000), FAST_BYTES, 10_000, 1),
-    "steady_uploads": (upload(40_000_000), FAST_BYTES, 128_000, 1),
-    "uploads_to_a_slow_target": (upload(40_000_000, "/work?read_bytes_per_s=100000"), FAST_BYTES, 20_000_000, 1),
-    "slow_readers": (download(3_000_000), 0, 10_000, 1),
-    "steady_readers": (download(40_000_000), 0, 128_000, 1),
-    "stalled_uploads_through_two_nodes": (upload(2_000_000), 2_000_000 - MISSING_BYTES, 10, 2),
-    "slow_readers_through_two_nodes": (download(3_000_000), 0, 10_000, 2),
+    "stalled_uploads": (upload(2_000_000), 2_000_000 - MISSING_BYTES, 10, 1, 2),
+    "trickling_uploads": (upload(4_000_000), FAST_BYTES, 10_000, 1, 2),
+    "steady_uploads": (upload(40_000_000), FAST_BYTES, 128_000, 1, 2),
+    "uploads_to_a_slow_target": (upload(40_000_000, "/work?read_bytes_per_s=100000"), FAST_BYTES, 20_000_000, 1, 2),
+    "slow_readers": (download(3_000_000), 0, 10_000, 1, 2),
+    "steady_readers": (download(40_000_000), 0, 128_000, 1, 2),
+    "stalled_uploads_through_two_nodes": (upload(2_000_000), 2_000_000 - MISSING_BYTES, 10, 2, 2),
+    "slow_readers_through_two_nodes": (download(3_000_000), 0, 10_000, 2, 2),
+    "stalled_uploads_at_one_slot": (upload(2_000_000), 2_000_000 - MISSING_BYTES, 10, 1, 1),
+    "slow_readers_at_one_slot": (download(3_000_000), 0, 10_000, 1, 1),
 }
 
 
@@ -139,7 +141,7 @@
 
 
 def run_case(fleet, case):
-    head, fast_bytes, rate, _ = CASES[case]
+    head, fast_bytes, rate, _, _ = CASES[case]
     if not fleet.publish() or not wait_for_answer(fleet.nodes[0].caller, "GET", b"", []):
         print("the fleet did not start\n" + "\n".join(node.log_end() for node in fleet.nodes))
         return 2
@@ -175,7 +177,8 @@
     parser.add_argument("--case", required=True, choices=sorted(CASES))
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="held-slots-") as folder:
-        fleet = Fleet(options.programs, folder, CASES[options.case][3], True, SLOTS, TIMEOUT_MS)
+        _, _, _, nodes, slots = CASES[options.case]
+        fleet = Fleet(options.programs, folder, nodes, True, slots, TIMEOUT_MS)
         try:
             status = run_case(fleet, options.case)
         finally:
