Bound connections, heads and control calls of the peer listener

Seen: 20 connections to the peer listener with four control calls of 4 MB each, stopped seven bytes short, take a node to 353.6 MB of 64 MB; 20 connections with 200 heads of 30 KB to 250.0 MB; 600 connections without a word open 618 of 256 descriptors, so that callers and other nodes can open none. Cause: only bodies of requests were bounded, by the windows of their streams. Connections, heads and control calls were kept without a bound and without a time limit, and a stream stayed as long as its peer left it open. Change: heads and control calls are charged to a budget of their own (limits.peer_memory_mb, by default a quarter of the callers', at least 8 MB). A stream without memory is refused as not processed, so that its request goes to another node. A field counts with the memory that it takes besides its bytes. A control call arrives within 10 s; a stream that has been answered is ended a second later. limits.peer_connections (max_fds / 5) bounds the connections: a new one replaces the one without streams that was silent for longest. Counted in teaselpitch_listener_limits_total. Not tested: the time limit of a control call.

--- a/drivers/peer/h2_callbacks.cpp
+++ b/drivers/peer/h2_callbacks.cpp
@@ -13,6 +13,8 @@
 
 // Limit for all header fields of one stream. The header of a caller's request has at most 16 KiB.
 constexpr std::size_t max_stream_field_bytes = 131'072;
+/// Memory of a field besides its name and value: a field of one byte on the wire takes as much.
+constexpr std::size_t field_overhead_bytes = sizeof(h2_fields::value_type);
 
 h2_session& session_from(void* user) {
     return *static_cast<h2_session*>(user);
@@ -76,7 +78,7 @@
                             std::size_t value_length, std::uint8_t /*flags*/, void* user) {
     h2_stream* stream = session_from(user).find_stream(frame->hd.stream_id);
     if (stream != nullptr) {
-        stream->field_bytes += name_length + value_length;
+        stream->field_bytes += name_length + value_length + field_overhead_bytes;
         if (stream->field_bytes > max_stream_field_bytes) {
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
--- a/drivers/peer/h2_stream.h
+++ b/drivers/peer/h2_stream.h
@@ -4,6 +4,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,9 +28,9 @@
 
     std::int32_t id = -1;
 
-    h2_fields head;     ///< First header block received.
-    h2_fields trailer;  ///< Second header block received.
-    std::size_t field_bytes = 0;
+    h2_fields head;               ///< First header block received.
+    h2_fields trailer;            ///< Second header block received.
+    std::size_t field_bytes = 0;  ///< Of both blocks, with the memory that each field takes besides.
     bool head_received = false;
     bool remote_ended = false;  ///< END_STREAM was received.
     byte_queue inbound;         ///< Limited by the stream's receive window.
@@ -47,6 +48,8 @@
     /// The stream outlasts a connection that stopped responding, as its answer cannot be asked for again.
     bool waits_for_unresponsive_peer = false;
 
+    std::shared_ptr<void> memory;  ///< What the owner of the session charges for the stream.
+
     async_signal changed;
     boost::asio::cancellation_signal handler_cancellation;  ///< Cancels the server's handler of the stream.
 
--- a/drivers/peer/peer_server.cpp
+++ b/drivers/peer/peer_server.cpp
@@ -15,6 +15,7 @@
 #include "drivers/peer/h2_session.h"
 #include "drivers/peer/head_codec.h"
 #include "drivers/peer/server_stream.h"
+#include "servers/admission/memory_account.h"
 
 namespace teaselpitch {
 namespace {
@@ -28,6 +29,18 @@
 constexpr std::size_t control_read_bytes = 16'384;
 // Delay after a failed accept, for example when the process has no free file descriptor.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
+/// Memory of a stream besides its fields and payload.
+constexpr std::size_t stream_bytes = 1'024;
+/// Time for the peer to end its side of a stream that was answered before.
+constexpr std::chrono::milliseconds linger_time{1'000};
+
+/// The charge of one stream, released with the stream.
+struct stream_charge {
+    explicit stream_charge(memory_budget& budget) : account(&budget, nullptr), charge(&account) {}
+
+    memory_account account;
+    memory_charge charge;
+};
 
 }  // namespace
 
@@ -51,6 +64,15 @@
     absl::StatusOr<endpoint> listen();
     awaitable<void> accept_loop();
     void add_session(tcp::socket socket);
+    /// Closes the session without streams that was silent for longest; false when all have streams.
+    bool make_room();
+    /// Charges the stream's head; false when there is no memory for it.
+    bool charge_head(h2_stream& stream) const;
+    static bool charge_payload(const h2_stream& stream, std::size_t bytes);
+    /// Ends a stream that was answered while its peer keeps it open.
+    static awaitable<void> end_lingering(std::weak_ptr<h2_session> session, std::weak_ptr<h2_stream> stream,
+                                         asio::any_io_executor executor);
+    void note_limit(peer_limit limit) const;
     void spawn_handler(const std::shared_ptr<h2_session>& session, const std::shared_ptr<h2_stream>& stream);
     awaitable<void> dispatch_stream(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream);
     awaitable<void> serve_exchange(std::shared_ptr<h2_session> session, std::shared_ptr<h2_stream> stream);
@@ -137,7 +159,49 @@
     return result;
 }
 
+void peer_server::state::note_limit(peer_limit limit) const {
+    if (options_.limit_met) {
+        options_.limit_met(limit);
+    }
+}
+
+bool peer_server::state::make_room() {
+    std::shared_ptr<h2_session> longest;
+    for (const auto& session : sessions_) {
+        const bool has_streams = session->open_stream_count() > 0;
+        if (!has_streams && (!longest || session->time_since_last_byte() > longest->time_since_last_byte())) {
+            longest = session;
+        }
+    }
+    if (longest) {
+        longest->close();
+    }
+    return longest != nullptr;
+}
+
+bool peer_server::state::charge_head(h2_stream& stream) const {
+    if (options_.memory == nullptr) {
+        return true;
+    }
+    auto charged = std::make_shared<stream_charge>(*options_.memory);
+    const bool added = charged->charge.try_add(stream_bytes + stream.field_bytes, memory_mark::critical);
+    stream.memory = std::move(charged);
+    return added;
+}
+
+// Payloads leave a quarter of the memory to heads, so that long ones do not keep requests out.
+bool peer_server::state::charge_payload(const h2_stream& stream, std::size_t bytes) {
+    auto* charged = static_cast<stream_charge*>(stream.memory.get());
+    return charged == nullptr || charged->charge.try_add(bytes, memory_mark::high);
+}
+
 void peer_server::state::add_session(tcp::socket socket) {
+    if (options_.max_connections > 0 && sessions_.size() >= options_.max_connections) {
+        note_limit(peer_limit::connections);
+        if (!make_room()) {
+            return;
+        }
+    }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto session_handle = std::make_shared<std::weak_ptr<h2_session>>();
@@ -157,6 +221,11 @@
 
 void peer_server::state::spawn_handler(const std::shared_ptr<h2_session>& session,
                                        const std::shared_ptr<h2_stream>& stream) {
+    if (!charge_head(*stream)) {
+        note_limit(peer_limit::memory);
+        session->reset(*stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
     ++running_handlers_;
     asio::co_spawn(executor_, dispatch_stream(session, stream),
                    asio::bind_cancellation_slot(
@@ -166,10 +235,34 @@
                            self->changed_.notify();
                            if (failure) {
                                session->reset(*stream, NGHTTP2_INTERNAL_ERROR);
+                           } else if (!stream->closed && !stream->remote_ended) {
+                               asio::co_spawn(self->executor_,
+                                              end_lingering(session, stream, self->executor_),
+                                              asio::detached);
                            }
                        }));
 }
 
+awaitable<void> peer_server::state::end_lingering(std::weak_ptr<h2_session> session,
+                                                  std::weak_ptr<h2_stream> stream,
+                                                  asio::any_io_executor executor) {
+    asio::steady_timer timer(executor);
+    bool answered = false;
+    while (!answered) {
+        timer.expires_after(linger_time);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        const std::shared_ptr<h2_stream> open = stream.lock();
+        const std::shared_ptr<h2_session> owner = session.lock();
+        if (!open || !owner || open->closed || open->remote_ended) {
+            co_return;
+        }
+        answered = open->outbound.empty();
+        if (answered) {
+            owner->reset(*open, NGHTTP2_NO_ERROR);
+        }
+    }
+}
+
 awaitable<void> peer_server::state::dispatch_stream(std::shared_ptr<h2_session> session,
                                                     std::shared_ptr<h2_stream> stream) {
     const std::string_view path = find_field(stream->head, ":path").value_or("");
@@ -199,12 +292,23 @@
                                                                         std::shared_ptr<h2_stream> stream) {
     std::string payload;
     std::array<std::byte, control_read_bytes> buffer{};
+    asio::steady_timer limit(executor_, options_.control_timeout);
+    limit.async_wait([self = shared_from_this(), session, stream](const boost::system::error_code& error) {
+        if (!error && !stream->remote_ended) {
+            self->note_limit(peer_limit::time);
+            session->reset(*stream, NGHTTP2_CANCEL);
+        }
+    });
     session->grant_window(*stream);
     while (true) {
         const absl::StatusOr<std::size_t> count = co_await session->receive(stream, buffer);
         if (!count.ok() || *count == 0) {
             co_return count.ok() ? absl::StatusOr<std::string>(std::move(payload)) : count.status();
         }
+        if (!charge_payload(*stream, *count)) {
+            note_limit(peer_limit::memory);
+            co_return absl::ResourceExhaustedError("the control messages of other nodes take the memory");
+        }
         payload.append(reinterpret_cast<const char*>(buffer.data()), *count);
         if (payload.size() > options_.max_control_bytes) {
             co_return absl::ResourceExhaustedError("the control message exceeds the limit of " +
--- a/drivers/peer/peer_server.h
+++ b/drivers/peer/peer_server.h
@@ -13,10 +13,18 @@
 #include "absl/status/statusor.h"
 #include "core/clock.h"
 #include "core/identity.h"
+#include "servers/admission/memory_budget.h"
 #include "servers/exchange/exchange.h"
 
 namespace teaselpitch {
 
+/// Limits of a peer_server that a connection or a stream met.
+enum class peer_limit : std::uint8_t {
+    connections,  ///< A connection was closed for a new one, or a new one was refused.
+    memory,       ///< A stream was refused, or the payload of a control call was not read to its end.
+    time,         ///< A control call did not arrive in time.
+};
+
 struct peer_server_options {
     endpoint listen{"127.0.0.1", 0};             ///< Port 0 binds a free port.
     bool reuse_port = false;                     ///< Sets SO_REUSEPORT; each shard has its own acceptor.
@@ -26,6 +34,15 @@
     std::uint32_t early_body_window_bytes = 0;
     std::uint32_t stream_window_bytes = 262'144;  ///< Receive buffer for the request body of one stream.
     std::size_t max_control_bytes = 4'194'304;    ///< Maximum payload of a control call.
+    /// Time for a control call to arrive completely. The longest takes 3.4 s on the slowest link (10 Mbit/s).
+    std::chrono::milliseconds control_timeout{10'000};
+    /// At this number, a new connection replaces the one without streams that was silent for longest, or is
+    /// refused when all have streams; 0 sets no bound.
+    std::size_t max_connections = 0;
+    /// Charged with the heads of streams and with the payloads of control calls; null without a bound. It
+    /// must outlive the server.
+    memory_budget* memory = nullptr;
+    std::function<void(peer_limit)> limit_met = nullptr;
     /// Closing the connection of an unresponsive client cancels its running requests, so the server waits
     /// longer than the client does.
     std::chrono::milliseconds ping_idle{1000};
--- a/drivers/settings/node_settings.cpp
+++ b/drivers/settings/node_settings.cpp
@@ -18,6 +18,10 @@
 /// Below 64, the descriptors that a node needs for itself leave none for callers.
 constexpr integer_range max_fds_range{0, 10'000'000};
 constexpr std::size_t min_max_fds = 64;
+/// The longest control call has 4 MB.
+constexpr std::uint64_t min_peer_memory_mb = 8;
+constexpr integer_range peer_connections_range{0, 1'000'000};
+constexpr integer_range peer_memory_mb_range{0, 1'000'000};
 constexpr integer_range admin_connections_range{0, 10'000};
 constexpr integer_range admin_body_bytes_range{4 * 1024, 8 * 1024 * 1024};
 constexpr integer_range short_duration_range_ms{1, 60'000};
@@ -132,6 +136,10 @@
     out.max_fds = static_cast<std::size_t>(limits.integer_or("max_fds", 0, max_fds_range));
     out.admin_connections =
         static_cast<std::size_t>(limits.integer_or("admin_connections", 0, admin_connections_range));
+    out.peer_connections =
+        static_cast<std::size_t>(limits.integer_or("peer_connections", 0, peer_connections_range));
+    out.peer_memory_mb =
+        static_cast<std::uint64_t>(limits.integer_or("peer_memory_mb", 0, peer_memory_mb_range));
     out.admin_body_bytes =
         static_cast<std::size_t>(limits.integer_or("admin_body_bytes", 64 * 1024, admin_body_bytes_range));
     limits.reject_unknown_keys();
@@ -139,6 +147,10 @@
         errors.push_back(
             {"limits.memory_mb", "must be 0 (no bound) or at least " + std::to_string(min_memory_mb)});
     }
+    if (out.peer_memory_mb > 0 && out.peer_memory_mb < min_peer_memory_mb) {
+        errors.push_back({"limits.peer_memory_mb",
+                          "must be 0 (derived) or at least " + std::to_string(min_peer_memory_mb)});
+    }
     if (out.max_fds > 0 && out.max_fds < min_max_fds) {
         errors.push_back(
             {"limits.max_fds", "must be 0 (no bound) or at least " + std::to_string(min_max_fds)});
--- a/drivers/settings/node_settings.h
+++ b/drivers/settings/node_settings.h
@@ -66,6 +66,9 @@
     std::size_t max_fds = 0;      ///< Limit of open descriptors of the process; 0 sets no bound.
     /// Connections of the admin listener, and as many of the readiness listener; 0 derives it from max_fds.
     std::size_t admin_connections = 0;
+    std::size_t peer_connections = 0;  ///< Connections from other nodes; 0 derives it from max_fds.
+    /// For heads and control calls of other nodes, in millions of bytes; 0 derives it from memory_mb.
+    std::uint64_t peer_memory_mb = 0;
     std::size_t admin_body_bytes = 0;  ///< Longest body of a request to the admin listener.
 
     std::chrono::milliseconds default_timeout{};  ///< For requests whose route and caller set no timeout.
--- a/modules/node/caller_resources.cpp
+++ b/modules/node/caller_resources.cpp
@@ -14,10 +14,12 @@
 /// An idle node takes 14 MB; its tables, routes and connections to targets and other nodes take the rest.
 constexpr std::uint64_t base_bytes = 32'000'000;
 
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
+constexpr std::size_t min_peer_bytes = 8'000'000;
+
 /// Two fifths of what is left: the allocator keeps about as much again in pieces that it can't return, and
 /// the kernel keeps unread and unsent bytes of the same connections.
 std::size_t budget_bytes(std::uint64_t memory_mb) {
-    constexpr std::uint64_t bytes_per_mb = 1'000'000;
     return static_cast<std::size_t>((memory_mb * bytes_per_mb - base_bytes) * 2 / 5);
 }
 
@@ -40,6 +42,17 @@
         // The targets of this instance, its operator and its monitoring need a few each.
         admin_connections_ = std::max<std::size_t>(settings.max_fds / 64, 8);
     }
+    if (settings.peer_memory_mb > 0) {
+        const auto capacity = static_cast<std::size_t>(settings.peer_memory_mb * bytes_per_mb);
+        peer_memory_.emplace(clock, memory_budget_options{.capacity_bytes = capacity});
+    } else if (settings.memory_mb > 0) {
+        // A quarter of the callers' budget, but enough for the longest control call (4 MB).
+        const std::size_t capacity = std::max(budget_bytes(settings.memory_mb) / 4, min_peer_bytes);
+        peer_memory_.emplace(clock, memory_budget_options{.capacity_bytes = capacity});
+    }
+    const std::size_t peer_connections =
+        settings.peer_connections > 0 ? settings.peer_connections : settings.max_fds / 5;
+    peer_connections_ = (peer_connections + settings.threads - 1) / settings.threads;
     if (settings.admin_connections > 0) {
         admin_connections_ = settings.admin_connections;
     }
--- a/modules/node/node_shard.cpp
+++ b/modules/node/node_shard.cpp
@@ -56,11 +56,28 @@
     return options;
 }
 
-peer_server_options peer_options(const node_context& context) {
+std::string_view to_string(peer_limit limit) {
+    switch (limit) {
+        case peer_limit::connections:
+            return "connections";
+        case peer_limit::memory:
+            return "memory";
+        case peer_limit::time:
+            return "time";
+    }
+    return "unknown";
+}
+
+peer_server_options peer_options(node_context& context) {
     peer_server_options options;
     options.listen = context.settings.peer_listen;
     options.stream_window_bytes = context.resources.stream_window_bytes();
     options.reuse_port = true;
+    options.max_connections = context.resources.peer_connections();
+    options.memory = context.resources.peer_memory();
+    options.limit_met = [&metrics = context.metrics](peer_limit limit) {
+        metrics.count_listener_limit("peer", to_string(limit));
+    };
     return options;
 }
 
--- a/tests/drivers/settings/node_settings_test.cpp
+++ b/tests/drivers/settings/node_settings_test.cpp
@@ -58,6 +58,8 @@
      "must be 0 (no bound) or at least 48"},
     {"too few descriptors", "seeds:", "limits: {max_fds: 63}\nseeds:", "limits.max_fds",
      "must be 0 (no bound) or at least 64"},
+    {"too little memory for a control call", "seeds:", "limits: {peer_memory_mb: 7}\nseeds:",
+     "limits.peer_memory_mb", "must be 0 (derived) or at least 8"},
     {"announcements would be refused", "seeds:", "limits: {admin_body_bytes: 1000}\nseeds:",
      "limits.admin_body_bytes", "1000 is not in 4096..8388608"},
     {"unknown level", "seeds:", "log_level: loud\nseeds:", "log_level",
