Give the rig of the second review the bounds of client accounts

Cause: deploy/node.yaml asks for bounds.failClosed and bounds.revokeMs, which the rig did not have (KeyError). Change: the rig has both, and renders a bound without a value as nothing, as the platform does. The cases are untouched.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -21,7 +21,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BOUNDS = {"graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "budgetWindowS": 10}
+BOUNDS = {"graceS": 6, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "budgetWindowS": 10,
+          "failClosed": "false", "revokeMs": 5000}
 HEARTBEAT_S = 1.5
 
 
@@ -370,7 +371,7 @@
                   "appAddr": self.backend.address, "limits.memoryMb": "160", "limits.maxFds": "4100"}
         fields.update({"bounds." + key: str(value) for key, value in BOUNDS.items()})
         with open(os.path.join(ROOT, "deploy", "node.yaml"), encoding="utf-8") as file:
-            text = re.sub(r"\{\{([^}]+)\}\}", lambda match: fields[match.group(1)], file.read())
+            text = re.sub(r"\{\{([^}]+)\}\}", lambda match: fields.get(match.group(1), ""), file.read())
         path = os.path.join(self.fleet.folder, self.name + ".yaml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
