Bound the records of decisions in bytes

Seen: 4,200 requests, one after the other, with a path and a host of 7 kB that no route matches take a node from 13 to 73.7 MB of 64 MB, for good; with longer ids as well, a node of 160 MB runs out of memory. Cause: the last 4,096 decisions are kept with the texts that callers choose: ids, hosts and paths of any legal length. Change: a text of a record is cut at 1,024 bytes, and the records of a subject take 4 MB at most, the oldest leave first. The detail of an answer without a route shows 256 bytes of host and path, which bounds its log line as well.

--- a/modules/proxy/ingress.cpp
+++ b/modules/proxy/ingress.cpp
@@ -9,6 +9,9 @@
 namespace teaselpitch {
 namespace {
 
+/// Part of a host and path that is shown in answers, logs and records.
+constexpr std::size_t max_shown_bytes = 256;
+
 std::string describe_attempt(const route_choice& choice, const exchange_result& result) {
     std::string line = "target=" + (choice.target.name.empty() ? "(holder)" : choice.target.name);
     line += " node=" + choice.node + " chosen_by=" + choice.reason;
@@ -92,7 +95,8 @@
     }
     const std::optional<route_decision> route = hooks_.find_route(head);
     if (!route) {
-        co_return failed_exchange(error_kind::no_route, "no route for " + head.host + head.path);
+        const std::string shown = (head.host + head.path).substr(0, max_shown_bytes);
+        co_return failed_exchange(error_kind::no_route, "no route for " + shown);
     }
     head.service = route->service;
     head.non_idempotent = route->non_idempotent;
--- a/servers/records/decision_log.h
+++ b/servers/records/decision_log.h
@@ -36,12 +36,17 @@
 };
 
 /// Stores the latest decisions in one ring buffer per subject, so that many decisions about requests do not
-/// overwrite the few about targets and edits. Thread-safe.
+/// overwrite the few about targets and edits. Bounded in records and in bytes: callers choose ids, hosts and
+/// paths, which are part of the records. Thread-safe.
 class decision_log {
 public:
+    /// Longer texts are cut.
+    static constexpr std::size_t max_text_bytes = 1'024;
+    static constexpr std::size_t max_bytes_per_subject = std::size_t{4} * 1024 * 1024;
+
     decision_log(const time_source& clock, std::size_t records_per_subject);
 
-    /// Stores a record; sets its time and sequence.
+    /// Stores a record; sets its time and sequence. The oldest ones are removed to make room.
     void add(decision_record record);
 
     /// Returns up to `limit` latest records about an id or, except for requests, about a service of that
@@ -52,11 +57,16 @@
 private:
     static constexpr std::size_t subject_count = 4;
 
+    struct ring {
+        std::deque<decision_record> records;
+        std::size_t bytes = 0;
+    };
+
     const time_source& clock_;
     const std::size_t capacity_;
     mutable std::mutex mutex_;
     std::uint64_t next_sequence_ = 1;
-    std::array<std::deque<decision_record>, subject_count> rings_;
+    std::array<ring, subject_count> rings_;
 };
 
 }  // namespace teaselpitch
--- a/tests/main/pressure/lingering_callers.py
+++ b/tests/main/pressure/lingering_callers.py
@@ -13,7 +13,7 @@
 import time
 
 from peer_caller import PeerConversation
-from pressure_fleet import ADDRESS, Fleet, request, wait_for_answer
+from pressure_fleet import ADDRESS, Fleet, ask, request, wait_for_answer
 
 BODY_BYTES = 480_000
 MISSING_BYTES = 7
@@ -69,6 +69,7 @@
     "pipelined_heads": (150, pipelining_caller, 1, "caller"),
     "bodies_through_two_nodes": (150, body_caller, 2, "caller"),
     "slow_readers_through_two_nodes": (150, reading_caller, 2, "caller"),
+    "long_unrouted_requests": (4_200, None, 1, "caller"),
     "admin_bodies": (30, lambda number: body_caller(number, size=4_000_000, path="/v1/announce"), 1, "admin"),
     "admin_connections": (600, idle_caller, 1, "admin"),
     "peer_connections": (600, idle_caller, 1, "peer"),
@@ -77,6 +78,15 @@
 }
 
 
+def ask_for_unrouted(port, nodes, count):
+    """Sends requests with long heads that no route matches, one after the other. The node records each."""
+    for number in range(count):
+        ask(port, path="/" + "p" * 7_500, host="h" * 7_000 + ".example")
+        if number % 100 == 0:
+            for node in nodes:
+                node.sample()
+
+
 class Caller:
     def __init__(self, port, data, piece):
         self.sock = socket.socket()
@@ -183,7 +193,9 @@
         node.sample()
         node.idle_mb = node.status_mb("VmRSS")
     port = getattr(fleet.nodes[0], listener)
-    callers = [open_caller(port, make(number)) for number in range(count)]
+    if make is None:
+        ask_for_unrouted(port, fleet.nodes, count)
+    callers = [open_caller(port, make(number)) for number in range(count)] if make else []
     send_crowd(callers, fleet.nodes)
     end = time.monotonic() + LINGER_S
     while time.monotonic() < end:
--- a/tests/main/pressure/pressure_fleet.py
+++ b/tests/main/pressure/pressure_fleet.py
@@ -11,8 +11,8 @@
 ADDRESS = "127.0.0.1"
 
 
-def request(method, path, extra=""):
-    return ("%s %s HTTP/1.1\r\nHost: vitrine.example\r\n%s" % (method, path, extra)).encode()
+def request(method, path, extra="", host="vitrine.example"):
+    return ("%s %s HTTP/1.1\r\nHost: %s\r\n%s" % (method, path, host, extra)).encode()
 
 
 def free_ports(count):
@@ -96,12 +96,12 @@
         return failures
 
 
-def ask(port, method="GET", path="/work?bytes=32", body=b""):
+def ask(port, method="GET", path="/work?bytes=32", body=b"", host="vitrine.example"):
     """Returns the status of one ordinary request; 0 without an answer."""
     try:
         with socket.create_connection((ADDRESS, port), timeout=5) as sock:
             fields = "Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body) if body else "Connection: close\r\n\r\n"
-            sock.sendall(request(method, path, fields) + body)
+            sock.sendall(request(method, path, fields, host) + body)
             data = b""
             while b"\r\n" not in data:
                 part = sock.recv(4096)
--- a/tests/servers/records/records_test.cpp
+++ b/tests/servers/records/records_test.cpp
@@ -49,6 +49,50 @@
 
 BOOST_AUTO_TEST_SUITE(records)
 
+struct size_case {
+    std::string name;
+    std::size_t id_bytes;
+    std::size_t records;
+    std::size_t evidence;
+    std::size_t evidence_bytes;
+    std::size_t kept;
+};
+
+std::ostream& operator<<(std::ostream& out, const size_case& value) {
+    return out << value.name;
+}
+
+const std::vector<size_case> size_cases{
+    {"short records", 20, 5'000, 4, 10, 4'096},
+    {"long ids", 15'000, 4'096, 0, 0, 3'000},
+    {"long evidence", 20, 4'096, 8, 15'000, 450},
+};
+
+// Guards against records that take the memory of the machine because a caller chose long texts.
+BOOST_DATA_TEST_CASE(records_are_bounded_in_bytes, boost::unit_test::data::make(size_cases), row) {
+    const size_case expected = row;
+    manual_time_source clock;
+    decision_log log(clock, 4'096);
+    const std::string id(expected.id_bytes, 'i');
+    for (std::size_t i = 0; i < expected.records; ++i) {
+        decision_record record = make_record(decision_subject::request, id);
+        for (std::size_t j = 0; j < expected.evidence; ++j) {
+            record.evidence.push_back({"attempt", std::string(expected.evidence_bytes, 'v')});
+        }
+        log.add(std::move(record));
+    }
+    const auto found = log.find(decision_subject::request, id, 5'000);
+    BOOST_TEST(found.size() >= expected.kept);
+    std::size_t bytes = 0;
+    for (const decision_record& record : found) {
+        bytes += record.id.size();
+        for (const decision_evidence& entry : record.evidence) {
+            bytes += entry.value.size();
+        }
+    }
+    BOOST_TEST(bytes <= decision_log::max_bytes_per_subject);
+}
+
 // Guards against many records about requests that overwrite the record of an ejection.
 BOOST_AUTO_TEST_CASE(subjects_do_not_overwrite_each_other) {
     manual_time_source clock;
