Lend no slot for an answer whose body is not sent

Cause: found by reading: the answer to a HEAD request states the length of a body that is never sent, and the gate counted it as a long answer, so that equal requests were refused while the share of lent slots was taken. Change: only a body counts.

--- a/modules/proxy/slot_loan.cpp
+++ b/modules/proxy/slot_loan.cpp
@@ -50,7 +50,7 @@
 awaitable<absl::Status> lent_answer::write_head(const response_head& head) {
     waited_before_head_ = loan_.waited();
     // The ingress streams such an answer from its first byte.
-    note_length(head.content_length.value_or(0));
+    note_length(head.has_body ? head.content_length.value_or(0) : 0);
     return destination_.write_head(head);
 }
 
--- a/tests/modules/proxy/slot_loan_test.cpp
+++ b/tests/modules/proxy/slot_loan_test.cpp
@@ -191,6 +191,39 @@
     }
 }
 
+struct head_case {
+    const char* name;
+    bool has_body;
+    std::uint64_t content_length;
+    bool lent;
+};
+
+std::ostream& operator<<(std::ostream& out, const head_case& value) {
+    return out << value.name;
+}
+
+const std::vector<head_case> head_cases{
+    {"body that a node holds", true, held_bytes, false},
+    {"longer body", true, held_bytes + 1, true},
+    {"length of a body that a HEAD request does not ask for", false, held_bytes + 1, false},
+};
+
+// Guards against loans for answers whose callers have nothing to read.
+BOOST_DATA_TEST_CASE(long_answers_are_lent_from_their_head, boost::unit_test::data::make(head_cases), row) {
+    const head_case expected = row;
+    loan_fixture fixture;
+    slot_loan loan(*fixture.target, 1, 0, fixture.clock, fixture.context.get_executor());
+    recording_writer writer;
+    bool noted = false;
+    lent_answer answer(writer, loan, held_bytes, [&] { noted = true; });
+    response_head head;
+    head.has_body = expected.has_body;
+    head.content_length = expected.content_length;
+    BOOST_TEST(run_until_complete(answer.write_head(head)).ok());
+    BOOST_TEST(loan.active() == expected.lent);
+    BOOST_TEST(noted == expected.lent);
+}
+
 // Guards against uploads that are refused although the slot is free, and against those that take the share of
 // all others.
 BOOST_AUTO_TEST_CASE(arriving_bodies_leave_a_share_of_the_slots) {
