--- a/tests/drivers/http/endless_answers_test.cpp
+++ b/tests/drivers/http/endless_answers_test.cpp
@@ -149,7 +149,7 @@
     const endless_case expected = row;
     net::io_context context(1);
     admin_server server(
-        context.get_executor(), {"127.0.0.1", 0},
+        context.get_executor(), {.listen = {"127.0.0.1", 0}},
         [](const admin_request&) -> awaitable<admin_response> { co_return admin_response{}; });
     const endpoint address = server.start().value();
     std::size_t sent = 0;
--- a/tests/drivers/http/target_client_test.cpp
+++ b/tests/drivers/http/target_client_test.cpp
@@ -38,11 +38,12 @@
 // Guards against an admin request whose method, path, query or body is lost or confused.
 BOOST_AUTO_TEST_CASE(admin_request_reaches_handler) {
     net::io_context context(1);
-    admin_server server(
-        context.get_executor(), {"127.0.0.1", 0}, [](admin_request request) -> awaitable<admin_response> {
-            co_return admin_response{201, "text/plain",
-                                     request.method + request.path + request.query["a"] + request.body};
-        });
+    admin_server server(context.get_executor(), {.listen = {"127.0.0.1", 0}},
+                        [](admin_request request) -> awaitable<admin_response> {
+                            co_return admin_response{
+                                201, "text/plain",
+                                request.method + request.path + request.query["a"] + request.body};
+                        });
     const endpoint address = server.start().value();
     run_on(context, [&]() -> awaitable<void> {
         http_request request;
