Start, report and stop the fleet of both pressure scripts in one place

Cause: held_slots.py and lingering_callers.py repeated the start of the fleet, the report of the bounds and the folder. Change: Fleet.is_ready, Fleet.report and run_in_fleet in pressure_fleet.py; crowds, bounds and checks are the same.

--- a/tests/main/pressure/held_slots.py
+++ b/tests/main/pressure/held_slots.py
@@ -8,11 +8,10 @@
 import selectors
 import socket
 import sys
-import tempfile
 import threading
 import time
 
-from pressure_fleet import ADDRESS, Fleet, request, wait_for_answer
+from pressure_fleet import ADDRESS, request, run_in_fleet, wait_for_answer
 
 CROWD = 8
 TIMEOUT_MS = 600_000
@@ -142,8 +141,7 @@
 
 def run_case(fleet, case):
     head, fast_bytes, rate, _, _ = CASES[case]
-    if not fleet.publish() or not wait_for_answer(fleet.nodes[0].caller, "GET", b"", []):
-        print("the fleet did not start\n" + "\n".join(node.log_end() for node in fleet.nodes))
+    if not fleet.is_ready():
         return 2
     # Each caller has an address of its own, and the ordinary requests have another one.
     callers = [SlowCaller("127.0.1.%d" % (number + 1), fleet.nodes[0].caller, head, fast_bytes, rate)
@@ -159,16 +157,8 @@
                     wait_for_answer(fleet.nodes[0].caller, "POST", b"o" * 1000, fleet.nodes))
     finally:
         crowd.stop()
-    failures = [] if answered else ["an ordinary request got no answer"]
     connections = sum(caller.connections for caller in callers)
-    for node in fleet.nodes:
-        node.sample()
-        print("case=%s node=%s alive=%s peak_mb=%.1f peak_fds=%d callers=%d connections=%d" %
-              (case, node.name, node.alive(), node.peak_mb, node.peak_fds, CROWD, connections))
-        failures += node.broken_bounds()
-    for failure in failures:
-        print("FAILED: " + failure)
-    return 1 if failures else 0
+    return fleet.report(case, answered, "callers=%d connections=%d" % (CROWD, connections))
 
 
 def main():
@@ -176,14 +166,8 @@
     parser.add_argument("--programs", required=True, help="folder of the built programs")
     parser.add_argument("--case", required=True, choices=sorted(CASES))
     options = parser.parse_args()
-    with tempfile.TemporaryDirectory(prefix="held-slots-") as folder:
-        _, _, _, nodes, slots = CASES[options.case]
-        fleet = Fleet(options.programs, folder, nodes, True, slots, TIMEOUT_MS)
-        try:
-            status = run_case(fleet, options.case)
-        finally:
-            fleet.stop()
-    sys.exit(status)
+    _, _, _, nodes, slots = CASES[options.case]
+    sys.exit(run_in_fleet(lambda fleet: run_case(fleet, options.case), options.programs, nodes, True, slots, TIMEOUT_MS))
 
 
 main()
--- a/tests/main/pressure/lingering_callers.py
+++ b/tests/main/pressure/lingering_callers.py
@@ -9,11 +9,10 @@
 import selectors
 import socket
 import sys
-import tempfile
 import time
 
 from peer_caller import PeerConversation
-from pressure_fleet import ADDRESS, Fleet, ask, request, wait_for_answer
+from pressure_fleet import ADDRESS, ask, request, run_in_fleet, wait_for_answer
 
 BODY_BYTES = 480_000
 MISSING_BYTES = 7
@@ -186,12 +185,8 @@
 
 def run_case(fleet, case):
     count, make, _, listener = CASES[case]
-    if not fleet.publish() or not wait_for_answer(fleet.nodes[0].caller, "GET", b"", []):
-        print("the fleet did not start\n" + "\n".join(node.log_end() for node in fleet.nodes))
+    if not fleet.is_ready():
         return 2
-    for node in fleet.nodes:
-        node.sample()
-        node.idle_mb = node.status_mb("VmRSS")
     port = getattr(fleet.nodes[0], listener)
     if make is None:
         ask_for_unrouted(port, fleet.nodes, count)
@@ -207,17 +202,10 @@
         time.sleep(0.25)
     answered = (wait_for_answer(fleet.nodes[0].caller, "GET", b"", fleet.nodes) and
                 wait_for_answer(fleet.nodes[0].caller, "POST", b"o" * 1000, fleet.nodes))
-    failures = [] if answered else ["an ordinary request got no answer"]
-    for node in fleet.nodes:
-        node.sample()
-        print("case=%s node=%s alive=%s idle_mb=%.1f peak_mb=%.1f peak_fds=%d callers=%d" %
-              (case, node.name, node.alive(), node.idle_mb, node.peak_mb, node.peak_fds, count))
-        failures += node.broken_bounds()
+    status = fleet.report(case, answered, "callers=%d" % count)
     for caller in callers:
         caller.close()
-    for failure in failures:
-        print("FAILED: " + failure)
-    return 1 if failures else 0
+    return status
 
 
 def main():
@@ -226,13 +214,8 @@
     parser.add_argument("--case", required=True, choices=sorted(CASES))
     parser.add_argument("--unbounded", action="store_true", help="leave the limits out of the settings")
     options = parser.parse_args()
-    with tempfile.TemporaryDirectory(prefix="pressure-") as folder:
-        fleet = Fleet(options.programs, folder, CASES[options.case][2], not options.unbounded)
-        try:
-            status = run_case(fleet, options.case)
-        finally:
-            fleet.stop()
-    sys.exit(status)
+    sys.exit(run_in_fleet(lambda fleet: run_case(fleet, options.case), options.programs, CASES[options.case][2],
+                          not options.unbounded))
 
 
 main()
--- a/tests/main/pressure/pressure_fleet.py
+++ b/tests/main/pressure/pressure_fleet.py
@@ -2,6 +2,7 @@
 import os
 import socket
 import subprocess
+import tempfile
 import time
 
 # The smallest machine has 160 MB and 4,100 descriptors. Both limits are lowered, so that a small crowd reaches them.
@@ -171,8 +172,41 @@
             time.sleep(0.2)
         return True
 
+    def is_ready(self):
+        """Publishes the table and waits until a request is answered; notes what the idle nodes take."""
+        if not self.publish() or not wait_for_answer(self.nodes[0].caller, "GET", b"", []):
+            print("the fleet did not start\n" + "\n".join(node.log_end() for node in self.nodes))
+            return False
+        for node in self.nodes:
+            node.sample()
+            node.idle_mb = node.status_mb("VmRSS")
+        return True
+
+    def report(self, case, answered, crowd):
+        """Prints the peaks of each node and what failed; returns the exit status of the case."""
+        failures = [] if answered else ["an ordinary request got no answer"]
+        for node in self.nodes:
+            node.sample()
+            print("case=%s node=%s alive=%s idle_mb=%.1f peak_mb=%.1f peak_fds=%d %s" %
+                  (case, node.name, node.alive(), node.idle_mb, node.peak_mb, node.peak_fds, crowd))
+            failures += node.broken_bounds()
+        for failure in failures:
+            print("FAILED: " + failure)
+        return 1 if failures else 0
+
     def stop(self):
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
             process.wait()
+
+
+def run_in_fleet(run, *arguments):
+    """Runs a case in a fleet made of the arguments, stops its processes, and returns the exit status."""
+    programs, *others = arguments
+    with tempfile.TemporaryDirectory(prefix="pressure-") as folder:
+        fleet = Fleet(programs, folder, *others)
+        try:
+            return run(fleet)
+        finally:
+            fleet.stop()
